--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,11 @@
 PYTHON ?= python3
 VENV ?= .venv
 PACKAGES = core daemon cli bench
-EDITABLE = $(foreach name,$(PACKAGES),-e packages/papayabay-$(name))
+EDITABLE = $(foreach name,$(PACKAGES),-e packages/papayabay-$(name)) -e platform
 
 .PHONY: demo test lint format
 
-$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
 		-c constraints.txt ruff nose2 $(EDITABLE)
--- a/packages/papayabay-core/src/papayabay_core/policy/__init__.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/__init__.py
@@ -1,6 +1,7 @@
 """The overload policy: what operators declare per service and call path."""
 
 from papayabay_core.policy.document import PolicyDocument, parse_policy
-from papayabay_core.policy.rules import CallRule, Policy
+from papayabay_core.policy.rule import CallRule
+from papayabay_core.policy.rules import Policy
 
 __all__ = ["CallRule", "Policy", "PolicyDocument", "parse_policy"]
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -3,7 +3,7 @@
 import tomllib
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from papayabay_core.exceptions import PolicyError
 
@@ -95,12 +95,44 @@
     calls: dict[CallName, CallDeclaration] = {}
 
 
+class WeightedService(Strict):
+    """One of the services that a route's requests are divided among."""
+
+    service: ServiceName
+    weight: Annotated[int, Field(ge=0, le=1_000_000)]
+
+
+class RouteDeclaration(Strict):
+    """Requests that callers send to one host below one path prefix.
+
+    The longest prefix of the host that begins the path is taken.
+    """
+
+    name: Annotated[str, Field(min_length=1, max_length=200)]
+    host: Annotated[str, Field(pattern=r"^[\x21-\x7e]{1,255}$")]
+    prefix: Annotated[str, Field(pattern=r"^/([\x21-\x7e]*/)?$", max_length=1_024)]
+    services: Annotated[list[WeightedService], Field(min_length=1, max_length=64)]
+    idempotent: bool = True
+    importance: Literal["critical", "normal", "sheddable"] = "normal"
+    timeout_ms: Milliseconds
+    latency_ms: Milliseconds | None = None
+    attempts: Annotated[int, Field(ge=1, le=64)] = 2
+
+    @model_validator(mode="after")
+    def check_weights(self):
+        """Refuse a route that could send its requests nowhere."""
+        if not any(part.weight for part in self.services):
+            raise ValueError("no service of the route has a weight above 0")
+        return self
+
+
 class PolicyDocument(Strict):
     """The whole policy; the root of what patches change."""
 
     format: Literal[1] = 1
     decisions: Decisions = Decisions()
     services: dict[ServiceName, ServiceDeclaration] = {}
+    routes: list[RouteDeclaration] = []
 
 
 def validate_policy(values, source):
--- a/packages/papayabay-core/src/papayabay_core/policy/rules.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/rules.py
@@ -7,53 +7,18 @@
 from papayabay_core.policy.document import (
     Admission,
     Decisions,
-    Objective,
     PolicyDocument,
     Retries,
     Routing,
     ServiceDeclaration,
 )
+from papayabay_core.policy.routes import RouteTable
+from papayabay_core.policy.rule import CallRule
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 DEFAULT_CALL = "default"
 
 
-@dataclass(frozen=True, slots=True)
-class CallRule:
-    """What policy says of one call path.
-
-    Attributes
-    ----------
-    service, name : str
-        Service, and name of the call within it.
-    importance : Importance
-        Class given to requests that enter by this path.
-    idempotent : bool
-        False for calls that must take effect at most once.
-    at_most_once : str
-        "claim", "token" or "either"; only read when not idempotent.
-    deadline_ms : int
-        Longest life of a request that enters by this path.
-    retry_credits : int
-        Retries that such a request may spend over its whole call tree.
-    objective : Objective or None
-    """
-
-    service: str
-    name: str
-    importance: Importance
-    idempotent: bool
-    at_most_once: str
-    deadline_ms: int
-    retry_credits: int
-    objective: Objective | None = None
-
-    @property
-    def path_key(self):
-        """Name by which load and times of this path are kept."""
-        return f"{self.service}/{self.name}"
-
-
 @dataclass(frozen=True, slots=True)
 class CompiledCall:
     """A call path ready for matching; more literal text goes first."""
@@ -89,6 +54,7 @@
             )
             for name, declaration in self.document.services.items()
         }
+        self.routes = RouteTable(self.document.routes)
 
     @property
     def decisions(self) -> Decisions:
--- a/packages/papayabay-core/src/papayabay_core/settings.py
+++ b/packages/papayabay-core/src/papayabay_core/settings.py
@@ -114,6 +114,14 @@
     inline_body_bytes: Annotated[int, Field(ge=1_024, le=1_048_576)] = 65_536
     depth: Annotated[int, Field(ge=1, le=255)] = 40
     drain_ms: Milliseconds = 60_000
+    leaving_accept_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
+    leaving_grace_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 1_000
+
+
+class CallSettings(Strict):
+    """How calls are told apart where callers and targets say little."""
+
+    infer_parents: bool = False
 
 
 class TimingSettings(Strict):
@@ -138,6 +146,7 @@
     statsd: StatsdSettings = StatsdSettings()
     limits: LimitSettings = LimitSettings()
     timing: TimingSettings = TimingSettings()
+    calls: CallSettings = CallSettings()
 
 
 class OperatorSettings(Strict):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -156,6 +156,10 @@
         for waiting in self.emptied():
             self.end(waiting, self.refusal(waiting.call, ErrorKind.LEAVING))
 
+    def open(self):
+        """Admit again, as for a target that takes another one's place."""
+        self.leaving = False
+
     async def drained(self):
         """Wait until nothing runs."""
         await self.idle.wait()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -65,12 +65,13 @@
             Always; errors too, with the request's identifier.
         """
         self.parts.counters.entered += 1
-        request_id = new_identifier()
+        request_id = incoming.request_id or new_identifier()
         started = now()
         rule = None
         self.begin()
         try:
             self.pause.check()
+            self.infer_parent(incoming)
             rule = self.rule_of(incoming)
             answer = await self.run_entered(incoming, rule, request_id)
         except CallError as error:
@@ -81,7 +82,8 @@
         finally:
             self.end()
         self.count(rule, answer, now() - started)
-        answer.headers = [*answer.headers, (REQUEST_HEADER, request_id)]
+        if not incoming.request_id:
+            answer.headers = [*answer.headers, (REQUEST_HEADER, request_id)]
         return answer
 
     def begin(self):
@@ -100,12 +102,26 @@
         if self.refusing and not incoming.call_token:
             raise CallError(ErrorKind.LEAVING, "this entry is leaving")
         policy = self.parts.policy()
+        if incoming.host:
+            return self.route(policy, incoming)
         if not policy.knows(incoming.service):
             raise unknown_service(policy, incoming.service)
         return policy.rule_for(incoming.service, incoming.method, incoming.path)
 
+    def route(self, policy, incoming):
+        """Return the rule of a request that names host and path only."""
+        route = policy.routes.find(incoming.host, incoming.path)
+        if route is None:
+            raise unknown_service(policy, "no route takes this host and path")
+        rule = route.pick(self.parts.random)
+        incoming.service = rule.service
+        return rule
+
     async def run_entered(self, incoming, rule, request_id):
         """Make a caller's request a call, and run it."""
+        if incoming.call_token:
+            live = self.tree.find(incoming.call_token)
+            return await self.run_child(incoming, rule, live)
         call = self.entry_call(incoming, rule, request_id)
         if not self.parts.policy().decisions.deadlines:
             return await self.run_to_the_end(call, rule)
@@ -132,7 +148,7 @@
             paying = self.entry_account(gated) if account is None else account
             return await self.dispatcher.dispatch(gated, paying)
 
-        if rule.idempotent:
+        if rule.idempotent or rule.at_most_once == "attempt":
             return await dispatch(call)
         if not call.idempotency_key:
             if call.depth == 0:
@@ -217,11 +233,28 @@
             UNKNOWN_CALL for a call that belongs to no live one, TOO_DEEP,
             RETRIES_SPENT for a repeat beyond the credits.
         """
-        self.parts.counters.outgoing += 1
         live = self.tree.find(incoming.call_token)
         rule = self.rule_of(incoming)
-        call = self.child_call(incoming, rule, live.call)
         self.debit_repeat(live, incoming)
+        return await self.run_child(incoming, rule, live)
+
+    def infer_parent(self, incoming):
+        """Tie a request to the call that the own target makes it for.
+
+        Where targets don't pass a token on, their calls come in by the
+        callers' door. Taken for requests of their own they would be refused
+        one by one: a request that makes nine calls, each refused with one
+        chance in ten, would hardly ever end well.
+        """
+        inferring = self.parts.settings.calls.infer_parents
+        if inferring and incoming.deadline_ms is not None:
+            expires_at = now() + incoming.deadline_ms / 1_000
+            incoming.call_token = self.tree.expiring_at(expires_at)
+
+    async def run_child(self, incoming, rule, live):
+        """Run a call that the own target makes for a live one."""
+        self.parts.counters.outgoing += 1
+        call = self.child_call(incoming, rule, live.call)
         task = asyncio.current_task()
         live.children.add(task)
         live.called.add(rule.path_key)
@@ -239,7 +272,7 @@
             raise CallError(ErrorKind.TOO_DEEP)
         life = entry_deadline(rule, incoming.deadline_ms)
         return Call(
-            request_id=parent.request_id,
+            request_id=incoming.request_id or parent.request_id,
             service=incoming.service,
             method=incoming.method,
             path=incoming.path,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -9,6 +9,12 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_daemon._internal.retries import CreditAccount, RepeatDebit
 
+MOST_BEFORE_S = 0.004
+MOST_AFTER_S = 0.012
+"""How far the end of a target's call may lie before and after that of the
+call it belongs to, seconds: before by two roundings to whole milliseconds,
+after by the ways between daemon and target and the turn of a busy loop."""
+
 
 @dataclass(slots=True)
 class LiveCall:
@@ -64,6 +70,26 @@
             raise CallError(ErrorKind.UNKNOWN_CALL)
         return live
 
+    def expiring_at(self, expires_at):
+        """Return the token of the call that ends at a time, "" if none does.
+
+        A target gives its own calls what is left of the life of the call
+        that they are for. Other requests end at any time, so that two ends
+        as near as that are seldom chance.
+
+        Parameters
+        ----------
+        expires_at : float
+            End of the outgoing call's life on `clock.now()`.
+        """
+        apart = {
+            token: expires_at - live.call.expires_at
+            for token, live in self.live.items()
+        }
+        token = min(apart, key=lambda token: abs(apart[token]), default="")
+        near = token and -MOST_BEFORE_S <= apart[token] <= MOST_AFTER_S
+        return token if near else ""
+
     def end(self, token, cancelled):
         """Forget a call, cancelling what it still waits for if it was cut.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/keeper.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/keeper.py
@@ -17,23 +17,35 @@
     Parameters
     ----------
     settings : DaemonSettings
-    log : ConfigurationLog
+    log : ConfigurationLog or VersionWatch
     members : Membership
         Besides `Members`: `on_newer_configuration`, `set_configuration`.
     links : Links
     random : random.Random
     clock : callable
         Seconds, counting suspended time.
+    version_reader : type
+        What reads `log`: `StoreReader`, or `VersionWatcher` where it is a
+        `VersionWatch`.
     """
 
-    def __init__(self, settings, log, members, links, random, clock=now):
+    def __init__(
+        self,
+        settings,
+        log,
+        members,
+        links,
+        random,
+        clock=now,
+        version_reader=StoreReader,
+    ):
         self.state = KeeperState(members, clock)
         self.version = self.state.version
         self.loaded = self.state.loaded
         self.counts = self.state.counts
         count = settings.timing.config_readers_per_domain
         self.readers = Readers(members, count, clock)
-        self.store = StoreReader(settings, self.state, log, self.readers, random)
+        self.store = version_reader(settings, self.state, log, self.readers, random)
         self.puller = Puller(self.state, links, random)
         note_offer = self.puller.note_offer
         self.pusher = Pusher(self.state, links, random, self.readers, note_offer)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/caller.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/caller.py
@@ -1,9 +1,10 @@
 """The door for callers."""
 
-from papayabay_daemon._internal.doors.calls import RESERVED_PREFIX, CallDoor
+from papayabay_daemon._internal.doors.calls import CallDoor
+from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
 from papayabay_daemon._internal.doors.response import json_answer
 
-KEYS_PATH = RESERVED_PREFIX + "keys"
+KEYS_PATH = OwnCallerDialect.reserved_prefix + "keys"
 
 
 class CallerDoor(CallDoor):
@@ -15,10 +16,13 @@
     flow : CallFlow
     key_minter : callable or None
         Returns a fresh home-bound idempotency key.
+    dialect : CallerDialect or None
+        None for papayabay's own.
     """
 
-    def __init__(self, settings, flow, key_minter=None):
-        super().__init__(settings.vm.host, settings.vm.caller_port, settings.limits)
+    def __init__(self, settings, flow, key_minter=None, dialect=None):
+        vm = settings.vm
+        super().__init__(vm.host, vm.caller_port, settings.limits, dialect)
         self.flow = flow
         self.key_minter = key_minter
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/calls.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/calls.py
@@ -5,25 +5,24 @@
 from papayabay_daemon._internal.doors.protocol import Door
 from papayabay_daemon._internal.doors.response import fault_answer
 
-RESERVED_PREFIX = "/.papayabay/"
-
 
 class CallDoor(Door):
     """A door through which calls come in."""
 
     async def answer(self, request):
         """Return the answer of the call flow, or of a reserved path."""
-        if request.raw_path.startswith(RESERVED_PREFIX):
+        reserved = self.dialect.reserved_prefix
+        if reserved and request.raw_path.startswith(reserved):
             return await self.answer_reserved(request)
-        incoming, state = await read_incoming(request, self.limits)
+        incoming, state = await read_incoming(request, self.limits, self.dialect)
         try:
             answer = await self.run(incoming)
         except CallError:
             if state.fault is None:
                 raise
-            return fault_answer(state)
+            return fault_answer(state, self.dialect)
         if answer.kind is not None and state.fault is not None:
-            return fault_answer(state)
+            return fault_answer(state, self.dialect)
         return answer
 
     async def run(self, incoming):
--- /dev/null
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
@@ -0,0 +1,119 @@
+"""How callers and daemons talk where no platform says otherwise."""
+
+import json
+import math
+import re
+
+from papayabay_core.calls import Answer, Body
+from papayabay_core.errors import ERROR_ANSWERS, problem_body
+from papayabay_daemon._internal.doors import headers as rules
+from papayabay_daemon._internal.doors.incoming import Incoming, bad_request
+
+MAX_DEADLINE_MS = 3_600_000
+MAX_TOKEN_CHARS = 255
+SERVICE_PATTERN = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
+TOKEN_PATTERN = re.compile(r"[\x20-\x7e]{1,255}")
+DIGITS_PATTERN = re.compile(r"[0-9]{1,7}")
+EFFECT_HEADER = "Papayabay-Effect"
+REQUEST_HEADER = "papayabay-request"
+PROBLEM_TYPE = ("Content-Type", "application/problem+json")
+
+
+class OwnCallerDialect:
+    """The `CallerDialect` of papayabay's own header fields."""
+
+    names = rules.OWN_NAMES
+    reserved_prefix = "/.papayabay/"
+
+    def read(self, method, path, fields):
+        """Return a request without its body.
+
+        Raises
+        ------
+        CallError
+            BAD_REQUEST.
+        """
+        control = fields.noted
+        return Incoming(
+            service=read_service(control),
+            method=method,
+            path=path,
+            headers=[*fields.kept, rules.VIA],
+            body=None,
+            idempotency_key=read_token(control, rules.IDEMPOTENCY_HEADER),
+            deadline_ms=read_deadline(control),
+            call_token=read_token(control, rules.CALL_HEADER),
+        )
+
+    def render_error(self, error, request_headers=(), effect=None):
+        """Return the answer that reports an error.
+
+        Parameters
+        ----------
+        error : CallError or Answer
+            An answer must have a `kind`; one with a body tells it already.
+        request_headers : iterable of (str, str)
+            Fields to keep, such as the request's identifier.
+        effect : Effect or None
+            Overrides the table where less is known than the table says.
+        """
+        if isinstance(error, Answer) and (error.body.first or not error.body.whole):
+            return error
+        row = ERROR_ANSWERS[error.kind]
+        effect = effect or row.effect
+        delay_ms = error.retry_after_ms
+        headers = [
+            field for field in request_headers if field[0].lower() == REQUEST_HEADER
+        ]
+        request_id = headers[0][1] if headers else ""
+        detail = getattr(error, "detail", "")
+        body = problem_body(error.kind, detail, request_id, delay_ms)
+        if effect is not row.effect:
+            body = json.dumps({**json.loads(body), "effect": effect.value}).encode()
+        headers.append(PROBLEM_TYPE)
+        if delay_ms:
+            headers.append(("Retry-After", str(math.ceil(delay_ms / 1000))))
+            headers.append(("Papayabay-Retry-After-Ms", str(delay_ms)))
+        return Answer(
+            row.status, headers, Body(body), error.kind, effect, retry_after_ms=delay_ms
+        )
+
+    def closing_fields(self, answer):
+        """Return Via, and what is known of the effect."""
+        name, value = rules.VIA
+        return f"{name}: {value}\r\n{EFFECT_HEADER}: {answer.effect.value}\r\n"
+
+
+def read_service(control):
+    """Return the service named by Papayabay-Service, else by Host."""
+    service = control.get(rules.SERVICE_HEADER)
+    if service is None:
+        service = control.get("host", "").partition(".")[0].partition(":")[0]
+    if SERVICE_PATTERN.fullmatch(service) is None:
+        raise bad_request("neither Papayabay-Service nor Host names a service")
+    return service
+
+
+def read_deadline(control):
+    """Return the caller's wish in milliseconds, or None."""
+    text = control.get(rules.DEADLINE_HEADER)
+    if text is None:
+        return None
+    deadline = int(text) if DIGITS_PATTERN.fullmatch(text) else 0
+    if not 0 < deadline <= MAX_DEADLINE_MS:
+        raise bad_request(
+            f"Papayabay-Deadline-Ms must be an integer from 1 to {MAX_DEADLINE_MS}"
+        )
+    return deadline
+
+
+def read_token(control, name):
+    """Return an opaque value of printable ASCII, "" without one."""
+    value = control.get(name)
+    if value is None:
+        return ""
+    if TOKEN_PATTERN.fullmatch(value) is None:
+        raise bad_request(
+            f"{name} must be 1 to {MAX_TOKEN_CHARS} printable ASCII characters"
+        )
+    return value
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
@@ -65,16 +65,42 @@
     ends_here: bool
 
 
-def classify(raw_name):
-    """Return a raw name as `FieldName`."""
-    text = raw_name.decode(*TEXT)
-    key = text.lower()
-    return FieldName(text, key, key in ENDS_HERE or key.startswith(CONTROL_PREFIX))
+class HeaderNames:
+    """Which fields a message's writer and this hop treat specially.
+
+    Parameters
+    ----------
+    noted : frozenset of str
+        Lower-case names of fields that this hop reads.
+    single : frozenset of str
+        Those that must not be repeated.
+    ends_here : callable
+        Takes a lower-case name; says whether the field is left out of what
+        travels on.
+    """
+
+    def __init__(self, noted, single, ends_here):
+        self.noted = noted
+        self.single = single
+        self.ends_here = ends_here
+        # Messages repeat the same few names. Long names bypass the cache,
+        # which keeps what strangers can put into it small.
+        self.classify_known = lru_cache(maxsize=KNOWN_NAMES)(self.classify)
+
+    def classify(self, raw_name):
+        """Return a raw name as `FieldName`."""
+        text = raw_name.decode(*TEXT)
+        key = text.lower()
+        return FieldName(text, key, self.ends_here(key))
+
+
+def own_field_ends_here(key):
+    """Return whether a field is one of this hop's or of papayabay's."""
+    return key in ENDS_HERE or key.startswith(CONTROL_PREFIX)
 
 
-# Messages repeat the same few names. Long names bypass the cache, which
-# keeps what strangers can put into it small.
-classify_known = lru_cache(maxsize=KNOWN_NAMES)(classify)
+OWN_NAMES = HeaderNames(NOTED, SINGLE, own_field_ends_here)
+classify_known = OWN_NAMES.classify_known
 
 
 @dataclass(slots=True)
@@ -86,7 +112,7 @@
     kept : list of (str, str)
         Those that travel on, in order, names and values as they came.
     noted : dict of str to str
-        Those of `NOTED`, by lower-case name.
+        Those that this hop reads, by lower-case name.
     connection : list of str
         Values of Connection fields.
     """
@@ -96,16 +122,17 @@
     connection: list[str] = field(default_factory=list)
 
 
-def end_to_end(raw_headers):
+def end_to_end(raw_headers, names=OWN_NAMES):
     """Return a message's header fields, those that end here left out.
 
     Hop-by-hop fields (RFC 9110, section 7.6.1), those that a Connection
-    field names, and every ``Papayabay-`` field are left out: nobody outside
-    may set what daemons tell each other.
+    field names, and every field that daemons set themselves are left out:
+    nobody outside may set what daemons tell each other.
 
     Parameters
     ----------
     raw_headers : iterable of (bytes, bytes)
+    names : HeaderNames
 
     Returns
     -------
@@ -115,18 +142,18 @@
     ------
     ValueError
         For a line break or NUL within a field, which a receiver or a link
-        would take for the start of another field, and for a repeated one of
-        `SINGLE`.
+        would take for the start of another field, and for a repeated field
+        that must stand alone.
     """
     fields = Fields()
     for raw_name, raw_value in raw_headers:
         known = len(raw_name) <= MAX_KNOWN_NAME_BYTES
-        name = classify_known(raw_name) if known else classify(raw_name)
+        name = (names.classify_known if known else names.classify)(raw_name)
         value = raw_value.decode(*TEXT)
         if "\n" in value or "\r" in value or "\0" in value:
             raise ValueError(f"{name.text} has a line break or NUL")
-        if name.key in NOTED:
-            if name.key in fields.noted and name.key in SINGLE:
+        if name.key in names.noted:
+            if name.key in fields.noted and name.key in names.single:
                 raise ValueError(f"{name.text} is given more than once")
             fields.noted[name.key] = value
         if not name.ends_here:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -1,20 +1,14 @@
 """What a door hands to the call flow."""
 
-import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from papayabay_core.calls import Answer, Body
-from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.doors.body import IncomingBody
 
-MAX_DEADLINE_MS = 3_600_000
-MAX_TOKEN_CHARS = 255
-SERVICE_PATTERN = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
-TOKEN_PATTERN = re.compile(r"[\x20-\x7e]{1,255}")
-DIGITS_PATTERN = re.compile(r"[0-9]{1,7}")
-
 
 @dataclass(slots=True)
 class Incoming:
@@ -23,7 +17,8 @@
     Attributes
     ----------
     service, method, path : str
-        Whom it is for; `path` is the origin form with the query.
+        Whom it is for; `path` is the origin form with the query. Without a
+        service, host and path select a route.
     headers : list of (str, str)
         End-to-end fields in order, without Host and Papayabay fields.
     body : Body
@@ -33,6 +28,10 @@
         The caller's own wish; may only shorten the request's life.
     call_token : str
         From the target door only: the call this one is made for.
+    host : str
+        Host of a request that is routed.
+    request_id : str
+        The caller's own identifier of this attempt; empty without one.
     """
 
     service: str
@@ -43,6 +42,37 @@
     idempotency_key: str = ""
     deadline_ms: int | None = None
     call_token: str = ""
+    host: str = ""
+    request_id: str = ""
+
+
+class CallerDialect(Protocol):
+    """How callers say what a request asks for, and hear how it ended.
+
+    Attributes
+    ----------
+    names : HeaderNames
+        Which header fields are read, and which end here.
+    reserved_prefix : str
+        Paths that the daemon itself answers begin so; empty for none.
+    """
+
+    names: rules.HeaderNames
+    reserved_prefix: str
+
+    def read(self, method: str, path: str, fields: rules.Fields) -> Incoming:
+        """Return a request without its body; raises `CallError`."""
+
+    def render_error(
+        self,
+        error: CallError | Answer,
+        request_headers: Iterable[tuple[str, str]] = (),
+        effect: Effect | None = None,
+    ) -> Answer:
+        """Return the answer that reports an error to the caller."""
+
+    def closing_fields(self, answer: Answer) -> str:
+        """Return the header lines that end the head of each answer."""
 
 
 class CallFlow(Protocol):
@@ -60,7 +90,7 @@
     return CallError(ErrorKind.BAD_REQUEST, detail)
 
 
-def read_headers(request, limits):
+def read_headers(request, limits, names):
     """Return a request's header fields as `Fields`.
 
     Raises
@@ -73,34 +103,11 @@
     if size > limits.header_bytes:
         raise CallError(ErrorKind.HEADERS_TOO_LARGE)
     try:
-        return rules.end_to_end(raw_headers)
+        return rules.end_to_end(raw_headers, names)
     except ValueError as error:
         raise bad_request(str(error)) from None
 
 
-def read_service(control):
-    """Return the service named by Papayabay-Service, else by Host."""
-    service = control.get(rules.SERVICE_HEADER)
-    if service is None:
-        service = control.get("host", "").partition(".")[0].partition(":")[0]
-    if SERVICE_PATTERN.fullmatch(service) is None:
-        raise bad_request("neither Papayabay-Service nor Host names a service")
-    return service
-
-
-def read_deadline(control):
-    """Return the caller's wish in milliseconds, or None."""
-    text = control.get(rules.DEADLINE_HEADER)
-    if text is None:
-        return None
-    deadline = int(text) if DIGITS_PATTERN.fullmatch(text) else 0
-    if not 0 < deadline <= MAX_DEADLINE_MS:
-        raise bad_request(
-            f"Papayabay-Deadline-Ms must be an integer from 1 to {MAX_DEADLINE_MS}"
-        )
-    return deadline
-
-
 def read_path(request):
     """Return the origin form of the request target."""
     path = request.raw_path
@@ -111,25 +118,14 @@
     return path
 
 
-def read_token(control, name):
-    """Return an opaque value of printable ASCII, "" without one."""
-    value = control.get(name)
-    if value is None:
-        return ""
-    if TOKEN_PATTERN.fullmatch(value) is None:
-        raise bad_request(
-            f"{name} must be 1 to {MAX_TOKEN_CHARS} printable ASCII characters"
-        )
-    return value
-
-
-async def read_incoming(request, limits):
+async def read_incoming(request, limits, dialect):
     """Return an aiohttp request as `Incoming`, and its body's state.
 
     Parameters
     ----------
     request : aiohttp.web.BaseRequest
     limits : LimitSettings
+    dialect : CallerDialect
 
     Returns
     -------
@@ -140,25 +136,14 @@
     CallError
         BAD_REQUEST, HEADERS_TOO_LARGE or BODY_TOO_LARGE.
     """
-    fields = read_headers(request, limits)
-    control = fields.noted
+    fields = read_headers(request, limits, dialect.names)
     if request.method == "CONNECT":
         raise bad_request("CONNECT is not supported")
-    incoming = Incoming(
-        service=read_service(control),
-        method=request.method,
-        path=read_path(request),
-        headers=fields.kept,
-        body=None,
-        idempotency_key=read_token(control, rules.IDEMPOTENCY_HEADER),
-        deadline_ms=read_deadline(control),
-        call_token=read_token(control, rules.CALL_HEADER),
-    )
+    incoming = dialect.read(request.method, read_path(request), fields)
     state = IncomingBody(request, limits)
     incoming.body = await state.read()
-    if incoming.body.whole and "content-length" in control:
+    if incoming.body.whole and "content-length" in fields.noted:
         # Recomputed from the body at hand; a streamed body keeps the length
         # that it was announced with, since it passes on unchanged.
         incoming.headers = rules.without(incoming.headers, "content-length")
-    incoming.headers.append(rules.VIA)
     return incoming, state
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
@@ -5,7 +5,8 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from papayabay_core.errors import CallError, ErrorKind
-from papayabay_daemon._internal.doors.response import DoorResponse, render_error
+from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
+from papayabay_daemon._internal.doors.response import DoorResponse
 
 log = logbook.Logger("papayabay.doors")
 
@@ -33,11 +34,24 @@
         else:
             log.error("door failed: {!r}", exc)
             error = CallError(ErrorKind.INTERNAL)
-        return DoorResponse(render_error(error), keep_alive=False)
+        dialect = self._manager.dialect
+        return DoorResponse(dialect.render_error(error), dialect, keep_alive=False)
 
 
 class DoorServer(web.Server):
-    """Makes a `DoorProtocol` for each connection, up to a limit."""
+    """Makes a `DoorProtocol` for each connection, up to a limit.
+
+    Parameters
+    ----------
+    handler : callable
+    dialect : CallerDialect
+    options : dict
+        As `aiohttp.web.Server` takes them.
+    """
+
+    def __init__(self, handler, dialect, **options):
+        super().__init__(handler, **options)
+        self.dialect = dialect
 
     def connection_made(self, handler, transport):
         """Take a connection, or break it when too many are open.
@@ -64,12 +78,15 @@
     port : int
         0 takes any free one.
     limits : LimitSettings
+    dialect : CallerDialect or None
+        None for papayabay's own.
     """
 
-    def __init__(self, host, port, limits):
+    def __init__(self, host, port, limits, dialect=None):
         self.host = host
         self.port = port
         self.limits = limits
+        self.dialect = dialect or OwnCallerDialect()
         self.stopping = False
         self.runner = None
         self.site = None
@@ -79,6 +96,7 @@
         """Listen; `port` is the real one afterwards."""
         server = DoorServer(
             self.handle,
+            self.dialect,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -117,11 +135,13 @@
             answer = await self.answer(request)
         except CallError as error:
             self.counters["refused"] += 1
-            answer = render_error(error)
+            answer = self.dialect.render_error(error)
         # What is left of a body that was not read would be taken for the
         # next request's head if the connection went on.
         unread = request.body_exists and not request.content.is_eof()
-        return DoorResponse(answer, keep_alive=not (unread or self.stopping))
+        return DoorResponse(
+            answer, self.dialect, keep_alive=not (unread or self.stopping)
+        )
 
     async def answer(self, request):
         """Return the `Answer` to a request; may raise `CallError`."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
@@ -1,7 +1,6 @@
 """Writing answers to HTTP clients."""
 
 import json
-import math
 import socket
 import struct
 import time
@@ -9,13 +8,10 @@
 from wsgiref.handlers import format_date_time
 
 from papayabay_core.calls import Answer, Body
-from papayabay_core.errors import ERROR_ANSWERS, Effect, problem_body
-from papayabay_daemon._internal.doors.headers import TEXT, VIA, declared_length
+from papayabay_core.errors import Effect
+from papayabay_daemon._internal.doors.headers import TEXT, declared_length
 from papayabay_daemon._internal.doors.streaming import write_body
 
-EFFECT_HEADER = "Papayabay-Effect"
-REQUEST_HEADER = "papayabay-request"
-PROBLEM_TYPE = ("Content-Type", "application/problem+json")
 STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n"
     for status in HTTPStatus
@@ -43,36 +39,6 @@
 DATE = HttpDate()
 
 
-def render_error(error, request_headers=(), effect=None):
-    """Return the answer that reports an error.
-
-    Parameters
-    ----------
-    error : CallError or Answer
-        An answer must have a `kind`.
-    request_headers : iterable of (str, str)
-        Fields to keep, such as the request's identifier.
-    effect : Effect or None
-        Overrides the table where less is known than the table says.
-    """
-    row = ERROR_ANSWERS[error.kind]
-    effect = effect or row.effect
-    delay_ms = error.retry_after_ms
-    headers = [field for field in request_headers if field[0].lower() == REQUEST_HEADER]
-    request_id = headers[0][1] if headers else ""
-    detail = getattr(error, "detail", "")
-    body = problem_body(error.kind, detail, request_id, delay_ms)
-    if effect is not row.effect:
-        body = json.dumps({**json.loads(body), "effect": effect.value}).encode()
-    headers.append(PROBLEM_TYPE)
-    if delay_ms:
-        headers.append(("Retry-After", str(math.ceil(delay_ms / 1000))))
-        headers.append(("Papayabay-Retry-After-Ms", str(delay_ms)))
-    return Answer(
-        row.status, headers, Body(body), error.kind, effect, retry_after_ms=delay_ms
-    )
-
-
 def json_answer(value, status=200):
     """Return a JSON answer of the daemon's own."""
     body = json.dumps(value).encode()
@@ -94,7 +60,7 @@
 
 class DoorResponse:
     """Writes one answer as it is: no header is added to or taken from it
-    but those of the connection, Via, Date and the effect.
+    but those of the connection, Date and what the dialect ends with.
 
     It has the three members that aiohttp's connection handler uses of a
     response.
@@ -105,12 +71,13 @@
         Whether the connection takes another request.
     """  # noqa: D205
 
-    __slots__ = ("answer", "keep_alive", "request")
+    __slots__ = ("answer", "dialect", "keep_alive", "request")
 
-    def __init__(self, answer, keep_alive=True):
-        if answer.kind is not None and not answer.body.first and answer.body.whole:
-            answer = render_error(answer, answer.headers)
+    def __init__(self, answer, dialect, keep_alive=True):
+        if answer.kind is not None:
+            answer = dialect.render_error(answer, answer.headers)
         self.answer = answer
+        self.dialect = dialect
         self.keep_alive = keep_alive
         self.request = None
 
@@ -186,8 +153,7 @@
             lines.append(f"{name}: {value}\r\n")
         if not dated:
             lines.append(DATE.current())
-        lines.append(f"{VIA[0]}: {VIA[1]}\r\n")
-        lines.append(f"{EFFECT_HEADER}: {answer.effect.value}\r\n")
+        lines.append(self.dialect.closing_fields(answer))
         lines.append(framing)
         if not self.keep_alive:
             lines.append("Connection: close\r\n")
@@ -197,11 +163,11 @@
         return "".join(lines).encode(*TEXT)
 
 
-def fault_answer(state):
+def fault_answer(state, dialect):
     """Return the answer to a request whose body could not be read whole.
 
     Parts of it may have been handed over before the fault was seen. Then
     nothing certain can be said of the effect, whatever the table says.
     """
     effect = Effect.UNKNOWN if state.handed_over else None
-    return render_error(state.fault, effect=effect)
+    return dialect.render_error(state.fault, effect=effect)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/target.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/target.py
@@ -4,13 +4,14 @@
 
 from papayabay_core.policy.document import explain_faults
 from papayabay_daemon._internal.doors.body import read_message
-from papayabay_daemon._internal.doors.calls import RESERVED_PREFIX, CallDoor
+from papayabay_daemon._internal.doors.calls import CallDoor
+from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
 from papayabay_daemon._internal.doors.incoming import bad_request
 from papayabay_daemon._internal.doors.response import json_answer
 from papayabay_daemon._internal.target.announcement import AnnounceMessage
 
-ANNOUNCE_PATH = RESERVED_PREFIX + "announce"
-WITHDRAW_PATH = RESERVED_PREFIX + "withdraw"
+ANNOUNCE_PATH = OwnCallerDialect.reserved_prefix + "announce"
+WITHDRAW_PATH = OwnCallerDialect.reserved_prefix + "withdraw"
 
 
 class TargetDoor(CallDoor):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
@@ -11,9 +11,6 @@
 
 from papayabay_core.exceptions import SettingsError
 
-ENTRY_GRACE_SECONDS = 1.0
-"""How long a leaving daemon still takes requests on open connections."""
-
 log = logbook.Logger("papayabay.daemon")
 
 
@@ -68,8 +65,9 @@
         )
         with opening("vm", vm.host, "gossip_port", vm.gossip_port):
             await daemon.membership.start()
-        with opening("loopback", loopback.host, "target_port", loopback.target_port):
-            await daemon.target_door.start()
+        for listener in daemon.listeners:
+            with opening("loopback", listener.host, "target_port", listener.port):
+                await listener.start()
         with opening("vm", vm.host, "caller_port", vm.caller_port):
             await daemon.caller_door.start()
 
@@ -82,7 +80,7 @@
             "caller_port": daemon.caller_door.port,
             "link_port": daemon.membership.local.link_port,
             "gossip_port": daemon.membership.local.gossip_port,
-            "target_port": daemon.target_door.port,
+            "target_port": daemon.listeners[0].port,
             "status_port": daemon.status_door.port,
         }
 
@@ -98,31 +96,41 @@
         log.notice("leaving: no new work, draining")
         daemon.leaving = True
         daemon.admission.leave()
-        await daemon.caller_door.stop_accepting()
+        limits = daemon.settings.limits
         await daemon.links.announce_leaving()
-        await daemon.membership.leave()
         try:
-            async with asyncio.timeout(daemon.settings.limits.drain_ms / 1000):
-                await asyncio.sleep(ENTRY_GRACE_SECONDS)
-                daemon.flow.refusing = True
+            async with asyncio.timeout(limits.drain_ms / 1000):
+                await asyncio.gather(self.end_entry(limits), daemon.membership.leave())
                 await daemon.admission.drained()
                 await daemon.flow.idle.wait()
         except TimeoutError:
             log.warning("drain took too long; {} calls cut", len(daemon.tree.live))
         log.notice("drained")
 
+    async def end_entry(self, limits):
+        """Take callers' requests until callers know better.
+
+        Whoever finds out by asking whether this daemon is ready needs time
+        for it, and connects meanwhile; a closed port would fail requests
+        that could still be served.
+        """
+        await asyncio.sleep(limits.leaving_accept_ms / 1000)
+        await self.daemon.caller_door.stop_accepting()
+        await asyncio.sleep(limits.leaving_grace_ms / 1000)
+        self.daemon.flow.refusing = True
+
     async def close(self):
         """Close every part."""
         daemon = self.daemon
         await daemon.gate.close()
         await daemon.caller_door.close()
-        await daemon.target_door.close()
+        for listener in daemon.listeners:
+            await listener.close()
         await daemon.status_door.close()
         await daemon.target.close()
         await daemon.links.close()
         daemon.admission.close()
-        await daemon.table.close()
-        await daemon.objects.close()
+        await daemon.environment.close()
 
 
 @contextmanager
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -39,7 +39,7 @@
     """Return requests and refusals by door."""
     return {
         "caller": dict(daemon.caller_door.counters),
-        "target": dict(daemon.target_door.counters),
+        "target": dict(daemon.listeners[0].counters),
         "status": dict(daemon.status_door.counters),
     }
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
@@ -1,6 +1,6 @@
 """What a target says of itself."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Annotated
 from urllib.parse import urlsplit
 
@@ -62,6 +62,11 @@
         Changes when the target's process is another one.
     lease_ms : int
         How long the announcement holds without being repeated.
+    sequence : int
+        Grows with each announcement of one incarnation; 0 where the target
+        counts none.
+    draining : bool
+        Whether it takes no new calls, and goes on with those it has.
     announced_at : float
         When this incarnation was first announced, on `clock.now()`; the
         cold start counts from here.
@@ -79,6 +84,8 @@
     shed_status: int = 0
     incarnation: str = ""
     lease_ms: int = DEFAULT_LEASE_MS
+    sequence: int = 0
+    draining: bool = False
     announced_at: float = 0.0
 
     def same_process(self, other):
@@ -86,6 +93,10 @@
         mine = (self.service, self.host, self.port, self.incarnation)
         return mine == (other.service, other.host, other.port, other.incarnation)
 
+    def says_the_same(self, other):
+        """Whether another one differs in nothing but its number."""
+        return replace(self, sequence=0) == replace(other, sequence=0)
+
 
 class AnnounceMessage(BaseModel):
     """The body of an announcement."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -6,45 +6,21 @@
 
 from papayabay_core.calls import Answer
 from papayabay_core.errors import CallError, ErrorKind
-from papayabay_daemon._internal.doors.headers import without
+from papayabay_daemon._internal.doors.headers import end_to_end, without
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
 from papayabay_daemon._internal.target.cancellation import CancelNotices
-from papayabay_daemon._internal.target.exchange import Exchange, answer_headers
+from papayabay_daemon._internal.target.dialect import OwnTargetDialect, Verdict
+from papayabay_daemon._internal.target.exchange import Exchange
 from papayabay_daemon._internal.target.pool import TargetPool
 
-EFFECT_FIELD = b"papayabay-effect"
-NOT_RUN = b"not-run"
-RETRY_AFTER_MS_FIELD = b"papayabay-retry-after-ms"
-SERVER_ERROR = 500
-MAX_DIGITS = 8
-MAX_RETRY_AFTER_S = 3_600
 NOT_MODIFIED = 304
-
-
-def retry_after_ms(raw_headers):
-    """Return when the target says to come back, milliseconds; 0 without."""
-    fields = {name.lower(): value for name, value in raw_headers}
-    exact = fields.get(RETRY_AFTER_MS_FIELD, b"")
-    if exact.isdigit() and len(exact) < MAX_DIGITS:
-        return min(int(exact), MAX_RETRY_AFTER_S * 1000)
-    seconds = fields.get(b"retry-after", b"")
-    if seconds.isdigit() and len(seconds) < MAX_DIGITS:
-        return min(int(seconds), MAX_RETRY_AFTER_S) * 1000
-    return 0
-
-
-def ran_nothing(status, raw_headers):
-    """Return whether the target says that it ran nothing.
-
-    A target whose own call was refused before it did anything itself may
-    pass that on. Taken for a target's answer, the refusal would be kept as
-    the final answer of the request's key, and repeating could never help.
-    """
-    if status < SERVER_ERROR:
-        return False
-    return any(
-        name.lower() == EFFECT_FIELD and value == NOT_RUN for name, value in raw_headers
-    )
+REFUSALS = {
+    Verdict.SHED: ErrorKind.TARGET_SHED,
+    Verdict.REFUSED_BELOW: ErrorKind.REFUSED_BELOW,
+}
+MAX_STRAY_ANSWERS = 4
+"""Answers to other requests that are skipped on one connection; a target that
+sends more is out of step for good."""
 
 
 class HttpTargetClient:
@@ -54,9 +30,12 @@
     ----------
     settings : DaemonSettings
     registry : TargetRegistry
+    dialect : TargetDialect or None
+        None for papayabay's own.
     """
 
-    def __init__(self, settings, registry):
+    def __init__(self, settings, registry, dialect=None):
+        self.dialect = dialect or OwnTargetDialect()
         self.limits = settings.limits
         self.registry = registry
         self.pool = None
@@ -105,7 +84,8 @@
         try:
             with LifeTimeout(remaining):
                 exchange = Exchange(await self.connect(pool), self.limits)
-                exchange.send(call, call_token)
+                head = self.dialect.request_head(call, call_token, pool.announcement)
+                exchange.send(call, head)
                 return await self.receive(exchange, call, call_token, pool)
         except TimeoutError:
             if exchange is None:
@@ -139,21 +119,26 @@
         return connection
 
     async def receive(self, exchange, call, call_token, pool):
-        """Return the answer."""
-        status, raw_headers = await exchange.receive()
-        if status == pool.announcement.shed_status:
-            exchange.discard()
-            raise CallError(
-                ErrorKind.TARGET_SHED, retry_after_ms=retry_after_ms(raw_headers)
-            )
-        if ran_nothing(status, raw_headers):
+        """Return the answer.
+
+        Raises
+        ------
+        CallError
+            TARGET_SHED or REFUSED_BELOW, not run; TARGET_LOST.
+        """
+        status, raw_headers = await self.receive_own(exchange, call)
+        idle_seconds = self.dialect.idle_seconds(raw_headers)
+        pool.note_use(exchange.connection, idle_seconds)
+        verdict = self.dialect.judge(call, pool.announcement, status, raw_headers)
+        if verdict in REFUSALS:
             exchange.discard()
-            raise CallError(
-                ErrorKind.REFUSED_BELOW, retry_after_ms=retry_after_ms(raw_headers)
-            )
+            pause = self.dialect.retry_after_ms(raw_headers)
+            raise CallError(REFUSALS[verdict], retry_after_ms=pause)
+        if verdict is Verdict.DOUBTFUL:
+            raise CallError(ErrorKind.TARGET_LOST, f"a {status} that can't be its own")
         # Decoded before the body, so that a field that can't travel on ends
         # the call at once.
-        headers = answer_headers(raw_headers)
+        headers = end_to_end(raw_headers, self.dialect.names).kept
         body = await exchange.read_body(call.remaining)
         if not body.whole:
             self.follow(body.rest, call_token, pool)
@@ -161,6 +146,20 @@
             headers = without(headers, "content-length")
         return Answer(status, headers, body)
 
+    async def receive_own(self, exchange, call):
+        """Return status and fields of the answer to this very request.
+
+        A target may send a second answer to an earlier request when that
+        one has long ended, and the connection serves another. Taken for the
+        next answer, it would go to the wrong caller.
+        """
+        for _ in range(MAX_STRAY_ANSWERS):
+            status, raw_headers = await exchange.receive()
+            if not self.dialect.is_stray(call, raw_headers):
+                return status, raw_headers
+            await exchange.skip()
+        raise CallError(ErrorKind.TARGET_LOST, "answers to other requests only")
+
     def follow(self, stream, call_token, pool):
         """Keep the pool until a streamed answer ends."""
         loop = asyncio.get_running_loop()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
@@ -22,36 +22,6 @@
 FIRST_FINAL_STATUS = 200
 
 
-def request_head(call, call_token):
-    """Return a call's request line and header fields as bytes."""
-    lines = [f"{call.method} {call.path} HTTP/1.1\r\nHost: {call.service}\r\n"]
-    lines += [f"{name}: {value}\r\n" for name, value in call.headers]
-    remaining_ms = max(int(call.remaining() * 1000), 1)
-    lines.append(
-        f"Papayabay-Call: {call_token}\r\n"
-        f"Papayabay-Request: {call.request_id}\r\n"
-        f"Papayabay-Remaining-Ms: {remaining_ms}\r\n"
-        f"Papayabay-Importance: {int(call.importance)}\r\n"
-        f"Papayabay-Rank: {call.rank}\r\n"
-        f"Papayabay-Credits: {call.credits}\r\n"
-        f"Papayabay-Depth: {call.depth}\r\n"
-    )
-    lines.append(request_framing(call))
-    lines.append("\r\n")
-    return "".join(lines).encode(*rules.TEXT)
-
-
-def request_framing(call):
-    """Return the header line that tells where the body ends."""
-    if not call.body.whole:
-        sized = rules.declared_length(call.headers) is not None
-        return "" if sized else "Transfer-Encoding: chunked\r\n"
-    size = len(call.body.first)
-    if size or call.method in ("POST", "PUT", "PATCH"):
-        return f"Content-Length: {size}\r\n"
-    return ""
-
-
 class Exchange:
     """A request on its way on a connection of its own.
 
@@ -70,8 +40,15 @@
         self.payload = None
         self.upload = None
 
-    def send(self, call, call_token):
-        """Write a call; large bodies go on being written by a task."""
+    def send(self, call, head):
+        """Write a call; large bodies go on being written by a task.
+
+        Parameters
+        ----------
+        call : Call
+        head : bytes
+            Request line and header fields.
+        """
         self.protocol.set_response_params(
             skip_payload=call.method == "HEAD",
             read_until_eof=True,
@@ -81,7 +58,6 @@
             max_field_size=self.limits.header_bytes,
             max_headers=MAX_HEADER_FIELDS,
         )
-        head = request_head(call, call_token)
         self.protocol.transport.write(
             head + call.body.first if call.body.whole else head
         )
@@ -116,6 +92,20 @@
                 self.payload = payload
                 return message.code, message.raw_headers
 
+    async def skip(self):
+        """Read an answer to its end that belongs to no request here.
+
+        Raises
+        ------
+        aiohttp.ClientError
+            When it is longer than any that is read whole.
+        """
+        size = 0
+        while not self.payload.at_eof():
+            size += len(await self.payload.read(PART_BYTES))
+            if size > self.limits.inline_body_bytes:
+                raise ClientPayloadError("a stray answer is too long to skip")
+
     async def read_body(self, expires_after):
         """Return the answer's body; a large one as a stream.
 
@@ -229,8 +219,3 @@
         # A stream that nobody reads or closes would hold its connection,
         # one of the few that the target takes, for good.
         self.end(whole=False)
-
-
-def answer_headers(raw_headers):
-    """Return the answer's fields that travel on; see `end_to_end`."""
-    return rules.end_to_end(raw_headers).kept
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -1,12 +1,18 @@
 """Connections to one announced target."""
 
 import asyncio
+from weakref import WeakKeyDictionary
 
 import aiohttp
 from yarl import URL
 
+from papayabay_core.utils.clock import now
+
 CONNECT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 30.0
+IDLE_MARGIN_SECONDS = 0.5
+"""How long before a target closes an idle connection it is no longer used;
+beyond any delay on the way to it, as it stands beside this daemon."""
 
 
 class TargetPool:
@@ -28,6 +34,8 @@
         self.announcement = announcement
         self.address = (announcement.host, announcement.port)
         self.users = 0
+        self.idle_seconds = KEEP_ALIVE_SECONDS
+        self.used_at = WeakKeyDictionary()
         self.retired = False
         self.closing = None
         self.connector = aiohttp.TCPConnector(
@@ -57,7 +65,36 @@
         aiohttp.ClientError or OSError
             When none could be made; nothing was sent.
         """
-        return await self.connector.connect(self.request, [], self.timeout)
+        while True:
+            connection = await self.connector.connect(self.request, [], self.timeout)
+            # Bytes that came while the connection was idle belong to no
+            # request. They would be read as the answer to the next one.
+            if not (connection.protocol.should_close or self.is_overdue(connection)):
+                return connection
+            connection.close()
+
+    def is_overdue(self, connection):
+        """Whether the target is about to close an idle connection.
+
+        A request that crosses the close may have been read or not; one that
+        must run at most once could then neither be repeated nor answered.
+        """
+        used_at = self.used_at.get(connection.protocol)
+        return used_at is not None and now() - used_at > self.idle_seconds
+
+    def note_use(self, connection, idle_seconds):
+        """Note that a connection was used, and how long it may stay idle.
+
+        Parameters
+        ----------
+        connection : aiohttp.connector.Connection
+        idle_seconds : float or None
+            As the target says; None where it says nothing.
+        """
+        self.used_at[connection.protocol] = now()
+        if idle_seconds is not None:
+            spare = max(0.0, idle_seconds - IDLE_MARGIN_SECONDS)
+            self.idle_seconds = min(KEEP_ALIVE_SECONDS, spare)
 
     def enter(self):
         """Count a user."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -1,6 +1,8 @@
 """Which target stands beside this daemon now."""
 
 import asyncio
+from collections import OrderedDict
+from dataclasses import replace
 
 import logbook
 
@@ -9,6 +11,10 @@
 log = logbook.Logger("papayabay.target")
 
 MAX_CONNECT_FAILURES = 3
+GONE = float("inf")
+"""Number above all that a process can give its announcements."""
+INCARNATIONS_KEPT = 64
+"""Former processes at this VM whose late announcements are known as such."""
 
 
 class TargetRegistry:
@@ -31,6 +37,7 @@
         self.announcement = None
         self.lease_until = 0.0
         self.connect_failures = 0
+        self.sequences = OrderedDict()
         self.changed = asyncio.Event()
 
     @property
@@ -41,16 +48,35 @@
         return self.announcement
 
     def announce(self, announcement):
-        """Take an announcement, or the repetition of one."""
+        """Take an announcement, or the repetition of one.
+
+        Returns
+        -------
+        bool
+            False for one that was overtaken by a later one of the same
+            process, or that comes after that process said it has gone.
+        """
+        if self.is_late(announcement):
+            log.info(
+                "late announcement {} of {} ignored",
+                announcement.sequence,
+                announcement.incarnation,
+            )
+            return False
         moment = self.clock()
         previous = self.current
         known = previous is not None and previous.same_process(announcement)
         announcement.announced_at = previous.announced_at if known else moment
+        if known:
+            announcement.cold_start_ms = previous.cold_start_ms
         self.lease_until = moment + announcement.lease_ms / 1000
         self.connect_failures = 0
-        if announcement == previous:
-            return
+        changed = previous is None or not previous.says_the_same(announcement)
         self.announcement = announcement
+        if not changed:
+            return True
+        if known and announcement.draining and not previous.draining:
+            log.notice("target of {} drains", announcement.service)
         if not known:
             log.notice(
                 "target of {} announced at {}:{}",
@@ -59,6 +85,45 @@
                 announcement.port,
             )
         self.notify()
+        return True
+
+    def is_late(self, announcement):
+        """Note an announcement's number; return whether it was overtaken.
+
+        An announcement may be held up on its way for longer than the
+        process lives that sent it. Taken for news, it would put a draining
+        target back to work, or one that has gone in its successor's place;
+        one would see calls fail that another target was there for.
+        """
+        if not announcement.sequence:
+            return False
+        incarnation = announcement.incarnation
+        newest = self.sequences.get(incarnation, 0)
+        if announcement.sequence <= newest:
+            return True
+        self.remember(incarnation, announcement.sequence)
+        return False
+
+    def remember(self, incarnation, sequence):
+        """Keep the newest number of a process; the oldest go."""
+        self.sequences[incarnation] = sequence
+        self.sequences.move_to_end(incarnation)
+        if len(self.sequences) > INCARNATIONS_KEPT:
+            self.sequences.popitem(last=False)
+
+    def gone(self, incarnation):
+        """Take in that a process takes no new calls, and ends soon.
+
+        It goes on with the calls that it has, and makes calls of its own.
+        """
+        self.remember(incarnation, GONE)
+        current = self.current
+        if current is None or current.incarnation != incarnation:
+            return
+        if not current.draining:
+            log.notice("target of {} has gone", current.service)
+            self.announcement = replace(current, draining=True)
+            self.notify()
 
     def withdraw(self, reason):
         """Forget the target; nothing is handed over until it announces."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -2,8 +2,6 @@
 
 import random
 
-from papayabay_core.configuration import ConfigurationLog
-from papayabay_core.platform import HttpObjectStore, HttpTableService
 from papayabay_daemon._internal.admission import AdmissionInputs, make_admission
 from papayabay_daemon._internal.calls.chains import ChainModel
 from papayabay_daemon._internal.calls.dispatch import Dispatcher
@@ -13,7 +11,7 @@
 from papayabay_daemon._internal.calls.receive import Receiver
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.configuration import ConfigurationKeeper
-from papayabay_daemon._internal.doors import CallerDoor, StatusDoor, TargetDoor
+from papayabay_daemon._internal.doors import CallerDoor, StatusDoor
 from papayabay_daemon._internal.idempotency import IdempotencyGate
 from papayabay_daemon._internal.lifecycle import Lifecycle
 from papayabay_daemon._internal.links import PeerLinks
@@ -27,6 +25,7 @@
 from papayabay_daemon._internal.status.routes import StatusRoutes
 from papayabay_daemon._internal.supervisor import Child, Supervisor
 from papayabay_daemon._internal.target import HttpTargetClient, TargetRegistry
+from papayabay_daemon.environment import own_environment
 
 
 class Daemon:
@@ -35,10 +34,13 @@
     Parameters
     ----------
     settings : DaemonSettings
+    environment : Environment or None
+        None for that of the settings.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, environment=None):
         self.settings = settings
+        self.environment = environment or own_environment(settings)
         self.random = random.Random()
         self.leaving = False
         self.build_state()
@@ -51,24 +53,27 @@
     def build_state(self):
         """Make what knows the platform, the peers and the configuration."""
         settings = self.settings
-        self.table = HttpTableService(settings.platform)
-        self.objects = HttpObjectStore(settings.platform)
+        environment = self.environment
+        self.table = environment.table
         self.links = PeerLinks(settings, None)
         self.membership = Membership(settings, self.table, self.links, self.random)
         self.links.local = self.membership.local
         self.membership.on_change(DeathLog().note)
         self.keeper = ConfigurationKeeper(
             settings,
-            ConfigurationLog(self.table, self.objects),
+            environment.versions,
             self.membership,
             self.links,
             self.random,
+            version_reader=environment.version_reader,
         )
 
     def build_decisions(self):
         """Make what decides on calls: admission, routing, retries, target."""
         self.registry = TargetRegistry()
-        self.target = HttpTargetClient(self.settings, self.registry)
+        self.target = HttpTargetClient(
+            self.settings, self.registry, self.environment.target_dialect
+        )
         inputs = self.admission_inputs()
         self.admission = make_admission(inputs.decisions.admission, inputs)
         self.router = RoutingTable(self.membership, self.policy, self.random)
@@ -125,8 +130,10 @@
         """Make what listens, and the accounts that the daemon gives."""
         settings = self.settings
         self.metrics = MetricsSender(settings.statsd, counter_sources(self))
-        self.caller_door = CallerDoor(settings, self.flow, self.gate.mint)
-        self.target_door = TargetDoor(settings, self.flow, self.registry)
+        self.caller_door = CallerDoor(
+            settings, self.flow, self.gate.mint, self.environment.caller_dialect
+        )
+        self.listeners = self.environment.listeners(self)
         routes = StatusRoutes(self)
         self.status_door = StatusDoor(settings, routes.reads(), routes.writes())
 
@@ -173,13 +180,21 @@
         self.admission.reconfigure(self.admission_inputs())
         if target is None:
             self.membership.withdraw()
-        elif not self.leaving:
+        elif self.leaving or target.draining:
+            self.admission.leave()
+            self.membership.withdraw()
+        else:
+            self.admission.open()
             self.membership.announce(target.service, target.slots)
 
     def policy_changed(self, policy):
         """Follow a policy that has come in force."""
         self.admission.reconfigure(self.admission_inputs())
 
+    def is_ready(self):
+        """Whether callers had better send their requests here."""
+        return not self.leaving and self.policy().version > 0
+
     async def run(self):
         """Run until SIGTERM, then drain; return the exit code."""
         return await self.lifecycle.run()
--- a/packages/papayabay-daemon/src/papayabay_daemon/main.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/main.py
@@ -34,9 +34,16 @@
         return EXIT_SETTINGS
 
 
-def run(settings):
+def run(settings, make_environment=None):
     """Run the daemon on an event loop that uses no io_uring.
 
+    Parameters
+    ----------
+    settings : DaemonSettings
+    make_environment : callable or None
+        Takes the settings and returns the `Environment`; called within the
+        running loop.
+
     Raises `SettingsError` for a port that can't be opened.
 
     libuv would use io_uring on kernels that offer it; it has to be told
@@ -49,7 +56,12 @@
     from papayabay_daemon.daemon import Daemon
 
     set_up_logs(settings.logs)
-    return uvloop.run(Daemon(settings).run())
+
+    async def run_daemon():
+        environment = make_environment(settings) if make_environment else None
+        return await Daemon(settings, environment).run()
+
+    return uvloop.run(run_daemon())
 
 
 if __name__ == "__main__":
