--- /dev/null
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -0,0 +1,171 @@
+"""How a daemon talks to its target, and how it takes what comes back."""
+
+import re
+from enum import Enum
+from typing import Protocol
+
+from papayabay_core.calls import Call
+from papayabay_daemon._internal.doors import headers as rules
+from papayabay_daemon._internal.target.announcement import Announcement
+
+EFFECT_FIELD = b"papayabay-effect"
+NOT_RUN = b"not-run"
+RETRY_AFTER_MS_FIELD = b"papayabay-retry-after-ms"
+SERVER_ERROR = 500
+KEEP_ALIVE_PATTERN = re.compile(rb"timeout=([0-9]{1,6})")
+MAX_DIGITS = 8
+MAX_RETRY_AFTER_S = 3_600
+
+
+class Verdict(Enum):
+    """What an answer of the target is worth.
+
+    ``ANSWER`` goes to the caller as it is. ``SHED`` and ``REFUSED_BELOW``
+    promise that the call was not run. After ``DOUBTFUL`` nobody knows.
+    """
+
+    ANSWER = "answer"
+    SHED = "shed"
+    REFUSED_BELOW = "refused-below"
+    DOUBTFUL = "doubtful"
+
+
+class TargetDialect(Protocol):
+    """How a call is put to the target, and its answer judged.
+
+    Attributes
+    ----------
+    names : HeaderNames
+        Which fields of an answer end here.
+    """
+
+    names: rules.HeaderNames
+
+    def request_head(
+        self, call: Call, call_token: str, announcement: Announcement
+    ) -> bytes:
+        """Return the request line and all header fields."""
+
+    def is_stray(self, call: Call, raw_headers) -> bool:
+        """Return whether an answer is known to belong to another request."""
+
+    def judge(
+        self, call: Call, announcement: Announcement, status: int, raw_headers
+    ) -> Verdict:
+        """Return what the answer to this request is worth."""
+
+    def retry_after_ms(self, raw_headers) -> int:
+        """Return when a refusal says to come back, milliseconds; 0 without."""
+
+    def idle_seconds(self, raw_headers) -> float | None:
+        """Return how long the target keeps an idle connection, if it says."""
+
+
+class OwnTargetDialect:
+    """The `TargetDialect` of papayabay's own header fields."""
+
+    names = rules.OWN_NAMES
+
+    def request_head(self, call, call_token, announcement):
+        """Return a call's request line and header fields as bytes."""
+        fields = own_fields(call, call_token)
+        return encode_head(call, f"Host: {call.service}\r\n", fields)
+
+    def is_stray(self, call, raw_headers):
+        """Return False: these targets don't say whom they answer."""
+        return False
+
+    def judge(self, call, announcement, status, raw_headers):
+        """Return whether the target shed the call, or answered it."""
+        if status == announcement.shed_status:
+            return Verdict.SHED
+        if ran_nothing(status, raw_headers):
+            return Verdict.REFUSED_BELOW
+        return Verdict.ANSWER
+
+    def retry_after_ms(self, raw_headers):
+        """Return when the target says to come back."""
+        return retry_after_ms(raw_headers)
+
+    def idle_seconds(self, raw_headers):
+        """Return what a Keep-Alive field says."""
+        return keep_alive_seconds(raw_headers)
+
+
+def own_fields(call, call_token):
+    """Return the fields by which a target learns of its call."""
+    return (
+        f"Papayabay-Call: {call_token}\r\n"
+        f"Papayabay-Request: {call.request_id}\r\n"
+        f"Papayabay-Remaining-Ms: {remaining_ms(call)}\r\n"
+        f"Papayabay-Importance: {int(call.importance)}\r\n"
+        f"Papayabay-Rank: {call.rank}\r\n"
+        f"Papayabay-Credits: {call.credits}\r\n"
+        f"Papayabay-Depth: {call.depth}\r\n"
+    )
+
+
+def remaining_ms(call):
+    """Return the life left in whole milliseconds; at least 1."""
+    return max(int(call.remaining() * 1000), 1)
+
+
+def encode_head(call, first_fields, last_fields):
+    """Return a call's request line and header fields as bytes.
+
+    Parameters
+    ----------
+    call : Call
+    first_fields, last_fields : str
+        Header lines before and after those that came with the call.
+    """
+    lines = [f"{call.method} {call.path} HTTP/1.1\r\n", first_fields]
+    lines += [f"{name}: {value}\r\n" for name, value in call.headers]
+    lines += [last_fields, request_framing(call), "\r\n"]
+    return "".join(lines).encode(*rules.TEXT)
+
+
+def request_framing(call):
+    """Return the header line that tells where the body ends."""
+    if not call.body.whole:
+        sized = rules.declared_length(call.headers) is not None
+        return "" if sized else "Transfer-Encoding: chunked\r\n"
+    size = len(call.body.first)
+    if size or call.method in ("POST", "PUT", "PATCH"):
+        return f"Content-Length: {size}\r\n"
+    return ""
+
+
+def retry_after_ms(raw_headers):
+    """Return when the target says to come back, milliseconds; 0 without."""
+    fields = {name.lower(): value for name, value in raw_headers}
+    exact = fields.get(RETRY_AFTER_MS_FIELD, b"")
+    if exact.isdigit() and len(exact) < MAX_DIGITS:
+        return min(int(exact), MAX_RETRY_AFTER_S * 1000)
+    seconds = fields.get(b"retry-after", b"")
+    if seconds.isdigit() and len(seconds) < MAX_DIGITS:
+        return min(int(seconds), MAX_RETRY_AFTER_S) * 1000
+    return 0
+
+
+def keep_alive_seconds(raw_headers):
+    """Return the timeout of a Keep-Alive field in seconds, or None."""
+    for name, value in raw_headers:
+        if name.lower() == b"keep-alive":
+            found = KEEP_ALIVE_PATTERN.search(value)
+            return float(found[1]) if found else None
+    return None
+
+
+def ran_nothing(status, raw_headers):
+    """Return whether the target says that it ran nothing.
+
+    A target whose own call was refused before it did anything itself may
+    pass that on. Taken for a target's answer, the refusal would be kept as
+    the final answer of the request's key, and repeating could never help.
+    """
+    if status < SERVER_ERROR:
+        return False
+    return any(
+        name.lower() == EFFECT_FIELD and value == NOT_RUN for name, value in raw_headers
+    )
