--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -1,9 +1,11 @@
 """Connections to one announced target."""
 
 import asyncio
+from functools import partial
 from weakref import WeakKeyDictionary
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from papayabay_core.utils.clock import now
@@ -15,6 +17,22 @@
 beyond any delay on the way to it, as it stands beside this daemon."""
 
 
+class TargetProtocol(ResponseHandler):
+    """The HTTP library's connection, mended where it loses the truth."""
+
+    def connection_lost(self, error):
+        """Fail a body that a reset cut off.
+
+        The library ends a body without a length with its connection, however
+        that ended. Half an answer would go to the caller as a whole one.
+        """
+        body = self._payload
+        if error is not None and body is not None and not body.is_eof():
+            self._parser = None
+            body.set_exception(aiohttp.ClientPayloadError(f"cut off: {error!r}"))
+        super().connection_lost(error)
+
+
 class TargetPool:
     """The connections that the target beside this daemon takes.
 
@@ -43,6 +61,10 @@
             keepalive_timeout=KEEP_ALIVE_SECONDS,
             use_dns_cache=False,
         )
+        # The library has no public place to name the protocol.
+        self.connector._factory = partial(
+            TargetProtocol, loop=asyncio.get_running_loop()
+        )
         self.timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
         # Only names the address; no request is sent by it.
         self.request = aiohttp.ClientRequest(
--- a/tests/unit/daemon/test_target_client.py
+++ b/tests/unit/daemon/test_target_client.py
@@ -1,5 +1,6 @@
 import asyncio
 import socket
+import struct
 import unittest
 
 from aiohttp import ClientError
@@ -57,6 +58,34 @@
         return caught.exception
 
 
+class UnframedTests(ClientTestCase):
+    """Answers without a length, which end with their connection."""
+
+    async def test_one_that_is_closed_is_whole(self):
+        await self.open(replying(b"HTTP/1.1 200 OK\r\n\r\nall", close=True))
+        answer = await self.run_call()
+        self.assertEqual(answer.body.first, b"all")
+
+    async def test_one_that_is_reset_is_not(self):
+        """A caller got half an answer as a whole one.
+
+        The target sends head and a part of a body without a length, and its
+        connection is reset. The HTTP library takes any end of the connection
+        for the end of such a body.
+        """
+
+        async def behave(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            await asyncio.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        await self.open(behave)
+        await self.fails(ErrorKind.TARGET_LOST)
+
+
 class PassingTests(ClientTestCase):
     async def test_request_and_answer(self):
         data = (
