--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
@@ -32,6 +32,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, daemon.reload, "SIGHUP")
         try:
             await daemon.start()
         except SettingsError:
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -44,9 +44,12 @@
         None for that of the settings.
     writer : LineWriter or None
         Takes the lines on decisions, if settings want them.
+    file : SettingsFile or None
+        Where the settings came from; followed if it is given.
     """
 
-    def __init__(self, settings, environment=None, writer=None):
+    def __init__(self, settings, environment=None, writer=None, file=None):
+        self.file = file
         self.writer = writer if settings.logs.decisions else None
         self.settings = settings
         self.environment = environment or own_environment(settings)
@@ -169,6 +172,9 @@
         ]
         if self.writer is not None:
             children.append(Child("log", self.writer.run))
+        if self.file is not None:
+            self.file.listeners.append(self.settings_changed)
+            children.append(Child("settings file", self.file.run))
         self.supervisor = Supervisor("daemon", children)
 
     def policy(self):
@@ -206,6 +212,20 @@
         """Follow a policy that has come in force."""
         self.admission.reconfigure(self.admission_inputs())
 
+    def reload(self, reason):
+        """Read the settings file again."""
+        if self.file is not None:
+            self.file.reload(reason)
+
+    def settings_changed(self, settings):
+        """Follow the settings file as far as a running daemon can.
+
+        Times of a shutdown and the store's address take effect; ports, names
+        and the rest are those of the process's start.
+        """
+        self.settings = settings
+        self.environment.follow(settings)
+
     def is_ready(self):
         """Whether callers had better send their requests here."""
         return not self.leaving and self.policy().version > 0
--- a/packages/papayabay-daemon/src/papayabay_daemon/environment.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/environment.py
@@ -49,6 +49,8 @@
         else stands beside it, reach it. Called once.
     close : callable
         Returns the coroutine that closes the services.
+    follow : callable
+        Takes changed settings, to use the store where it is now.
     """
 
     table: Any
@@ -58,6 +60,7 @@
     target_dialect: TargetDialect
     listeners: Callable[[Any], list[Listener]]
     close: Callable[[], Any]
+    follow: Callable[[Any], None]
 
 
 def own_environment(settings):
@@ -82,6 +85,7 @@
         target_dialect=OwnTargetDialect(),
         listeners=own_listeners,
         close=close,
+        follow=lambda settings: None,
     )
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/main.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/main.py
@@ -6,6 +6,7 @@
 
 from papayabay_core.exceptions import SettingsError
 from papayabay_core.settings import load_settings
+from papayabay_daemon._internal.settings_file import SettingsFile
 
 EXIT_SETTINGS = 2
 
@@ -23,23 +24,33 @@
     """Run the daemon; return the process's exit code."""
     options = parse_arguments(arguments)
     try:
-        settings = load_settings(options.settings)
+        file = open_settings(options.settings, load_settings)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     try:
-        return run(settings)
+        return run(file)
     except SettingsError as error:
         print(f"{options.settings}: {error}", file=sys.stderr)
         return EXIT_SETTINGS
 
 
-def run(settings, make_environment=None):
+def open_settings(path, load):
+    """Return a `SettingsFile` with its first settings.
+
+    Raises
+    ------
+    SettingsError
+    """
+    return SettingsFile(path, load, load(path))
+
+
+def run(file, make_environment=None):
     """Run the daemon on an event loop that uses no io_uring.
 
     Parameters
     ----------
-    settings : DaemonSettings
+    file : SettingsFile
     make_environment : callable or None
         Takes the settings and returns the `Environment`; called within the
         running loop.
@@ -55,11 +66,12 @@
     from papayabay_daemon._internal.logs import set_up_logs
     from papayabay_daemon.daemon import Daemon
 
+    settings = file.settings
     writer = set_up_logs(settings.logs)
 
     async def run_daemon():
         environment = make_environment(settings) if make_environment else None
-        return await Daemon(settings, environment, writer).run()
+        return await Daemon(settings, environment, writer, file).run()
 
     return uvloop.run(run_daemon())
 
--- a/tests/functional/test_daemon_settings.py
+++ b/tests/functional/test_daemon_settings.py
@@ -1,5 +1,6 @@
 """`papayabayd` as a process that gets settings it can't use."""
 
+import signal
 import socket
 import subprocess
 import sys
@@ -102,6 +103,31 @@
         self.assertTrue(ended.stderr.startswith(f"{path}: vm.link_port: "))
         self.assertEqual(len(ended.stderr.splitlines()), 1, ended.stderr)
 
+    def test_a_hangup_reloads_and_ends_nothing(self):
+        """Symptom: daemons ended with status 129 when settings changed.
+
+        Sequence: the settings file is written anew and SIGHUP tells of it.
+        Cause: nobody handled the signal, whose default ends a process.
+        """
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        path = Path(directory) / "daemon.toml"
+        path.write_text(FAULTY.replace("caller_port = 70000\ndoor = 1\n", ""))
+        process = subprocess.Popen(
+            [*COMMAND, "--settings", str(path)],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        self.assertIn('"ready": true', process.stdout.readline())
+        path.write_text(path.read_text() + "\n[limits]\ndrain_ms = 1500\n")
+        process.send_signal(signal.SIGHUP)
+        reloaded = next(line for line in process.stderr if "reloaded" in line)
+        self.assertIn("limits.drain_ms", reloaded)
+        self.assertIsNone(process.poll())
+
     def test_missing_file(self):
         ended = run_daemon("--settings", "missing.toml")
         self.assert_refused(ended)
