Share one budget of repeats among all daemons

Cause: a bucket for each daemon lets 16 of them make 128 repeats in 10 s with no requests at all, where the platform allows 47 and a fifth of the requests.

Change: with a window in the policy, each daemon keeps to the ratio of its own first attempts and an equal part of the rest, in every window. A route's attempts bound the upstreams that may have run a request; its credits are no longer tied to them, since refusals cost nobody anything.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -61,6 +61,9 @@
     path_key : str
         Name of the policy rule's call path; what load and service time are
         learned by, so that both stay bounded.
+    attempts : int
+        Upstreams that may run it, 0 without a bound. Kept by the daemon that
+        dispatches the call; it does not travel.
     """
 
     request_id: str
@@ -77,6 +80,7 @@
     idempotent: bool = True
     idempotency_key: str = ""
     path_key: str = ""
+    attempts: int = 0
 
     @property
     def level(self):
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -55,6 +55,8 @@
 
     credits: Annotated[int, Field(ge=0, le=64)] = 3
     ratio: Share = 0.1
+    window_ms: Milliseconds | None = None
+    window_repeats: Annotated[int, Field(ge=0, le=1_000_000)] = 0
 
 
 class Routing(Strict):
@@ -117,6 +119,7 @@
     timeout_ms: Milliseconds
     latency_ms: Milliseconds | None = None
     attempts: Annotated[int, Field(ge=1, le=64)] = 2
+    retry_credits: Annotated[int, Field(ge=0, le=64)] = 3
 
     @model_validator(mode="after")
     def check_weights(self):
--- a/packages/papayabay-core/src/papayabay_core/policy/routes.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/routes.py
@@ -97,7 +97,7 @@
         idempotent=declaration.idempotent,
         at_most_once="attempt",
         deadline_ms=declaration.timeout_ms,
-        retry_credits=declaration.attempts - 1,
+        retry_credits=declaration.retry_credits,
         objective=objective,
         attempts=declaration.attempts,
     )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -40,6 +40,7 @@
         self.retries.first_attempt(call)
         tried = set()
         attempts = 0
+        doubts = 0
         answer = None
         doubtful = None
         while True:
@@ -51,6 +52,9 @@
             attempts += 1
             answer = await self.attempt(member, call, account, attempts)
             tried.add(member.name)
+            doubts += answer.effect is not Effect.NOT_RUN
+            if call.attempts and doubts >= call.attempts:
+                return answer
             pause = self.retries.pause_before_retry(
                 call, answer, attempts, account, tried
             )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -225,6 +225,7 @@
             idempotent=rule.idempotent,
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
+            attempts=rule.attempts,
         )
 
     def count(self, rule, answer, elapsed):
@@ -300,6 +301,7 @@
             idempotent=rule.idempotent,
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
+            attempts=rule.attempts,
         )
 
     def debit_repeat(self, live, incoming):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
@@ -1,6 +1,7 @@
 """The share of calls that may be repeats, per service."""
 
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.retries.window import RepeatWindow
 
 BURST_TOKENS = 10.0
 FLOOR_TOKENS = 3.0
@@ -30,23 +31,34 @@
         Returns the `Policy` in force.
     clock : callable
         Seconds.
+    members : callable or None
+        Returns how many daemons share what is left beside the ratio.
     """
 
-    def __init__(self, policy_source, clock=now):
+    def __init__(self, policy_source, clock=now, members=None):
         self.policy_source = policy_source
         self.clock = clock
+        self.members = members or (lambda: 1)
+        self.windows = {}
         self.buckets = {}
         self.allowed = 0
         self.refused = 0
 
     def first_attempt(self, service):
         """Note the first attempt of a call."""
+        retries = self.policy_source().retries(service)
+        if retries.window_ms is not None:
+            self.window(service).first_attempt(retries)
+            return
         bucket = self.bucket(service)
-        earned = self.policy_source().retries(service).ratio
+        earned = retries.ratio
         bucket.tokens = min(max(BURST_TOKENS, bucket.tokens), bucket.tokens + earned)
 
     def allow(self, service):
         """Spend a token for a repeat; return False when there is none."""
+        retries = self.policy_source().retries(service)
+        if retries.window_ms is not None:
+            return self.allow_in_window(service, retries)
         bucket = self.bucket(service)
         self.refill(bucket)
         if bucket.tokens < 1.0:
@@ -56,6 +68,22 @@
         self.allowed += 1
         return True
 
+    def allow_in_window(self, service, retries):
+        """Count a repeat if the share of the window's budget has room."""
+        allowed = self.window(service).allow(retries, self.members())
+        self.allowed += allowed
+        self.refused += not allowed
+        return allowed
+
+    def window(self, service):
+        """Return the window of a service; the oldest goes beyond the cap."""
+        window = self.windows.get(service)
+        if window is None:
+            if len(self.windows) >= MAX_SERVICES:
+                del self.windows[next(iter(self.windows))]
+            window = self.windows[service] = RepeatWindow(self.clock)
+        return window
+
     def refill(self, bucket):
         """Add what time has earned, up to the floor."""
         at = self.clock()
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -90,7 +90,10 @@
         self.admission = make_admission(inputs.decisions.admission, inputs)
         self.router = RoutingTable(self.membership, self.policy, self.random)
         self.retries = RetryRules(
-            self.policy, RetryRatio(self.policy), self.random, self.router.has_other
+            self.policy,
+            RetryRatio(self.policy, members=self.known_members),
+            self.random,
+            self.router.has_other,
         )
         self.registry.listeners.append(self.target_changed)
         self.keeper.on_change(self.policy_changed)
@@ -181,6 +184,14 @@
         """Return the policy in force."""
         return self.keeper.policy
 
+    def known_members(self):
+        """Return how many daemons there are, or were until lately.
+
+        The dead count too: a daemon that is merely cut off goes on spending
+        its part of what all share.
+        """
+        return len(self.membership.table.members)
+
     def admission_inputs(self):
         """Return what admission is configured by now."""
         policy = self.policy()
--- a/tests/unit/daemon/test_dispatch_doubt.py
+++ b/tests/unit/daemon/test_dispatch_doubt.py
@@ -10,6 +10,8 @@
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.calls.dispatch import Dispatcher
 from papayabay_daemon._internal.calls.parts import CallCounters
+from papayabay_daemon._internal.decision_log import DecisionLog
+from papayabay_daemon._internal.metrics.exposition import Latencies
 from papayabay_daemon._internal.retries import CreditAccount
 
 
@@ -48,6 +50,8 @@
 class RepeatAlways:
     """Retries at once while upstreams of the script are left."""
 
+    latest_stop = "script"
+
     def __init__(self, attempts):
         self.attempts = attempts
 
@@ -91,6 +95,8 @@
             links=ScriptedLinks(ends),
             counters=CallCounters(),
             random=random.Random(1),
+            latencies=Latencies(),
+            log=DecisionLog(),
         )
         retries = RepeatAlways(attempts or len(ends))
         dispatcher = Dispatcher(parts, None, retries)
--- a/tests/unit/daemon/test_retries_rules.py
+++ b/tests/unit/daemon/test_retries_rules.py
@@ -124,6 +124,56 @@
         self.assertEqual(sum(ratio.allow("stock") for _ in range(9)), 3)
 
 
+def windowed(**changes):
+    retries = {"ratio": 0.2, "window_ms": 10_000, "window_repeats": 48} | changes
+    values = {"services": {"stock": {"retries": retries}}}
+    return Policy(validate_policy(values, "test"))
+
+
+class WindowTests(unittest.TestCase):
+    """Repeats of all daemons together within one budget."""
+
+    def setUp(self):
+        self.at = 100.0
+        self.members = 16
+
+    def ratio(self, **changes):
+        policy = windowed(**changes)
+        return RetryRatio(lambda: policy, lambda: self.at, lambda: self.members)
+
+    def test_parts_of_all_daemons_add_up_to_no_more_than_the_budget(self):
+        daemons = [self.ratio() for _ in range(self.members)]
+        for number, daemon in enumerate(daemons):
+            for _ in range(10 * number):
+                daemon.first_attempt("stock")
+        firsts = sum(10 * number for number in range(self.members))
+        repeats = sum(daemon.allow("stock") for daemon in daemons for _ in range(400))
+        self.assertLessEqual(repeats, 0.2 * firsts + 48)
+        self.assertGreater(repeats, 0.7 * (0.2 * firsts + 48))
+
+    def test_nothing_is_saved_for_a_later_window(self):
+        """A service got more repeats at once than its callers could cause.
+
+        Calm minutes had filled a bucket; when an upstream failed, all of it
+        was spent within a second.
+        """
+        ratio = self.ratio()
+        for _ in range(1_000):
+            ratio.first_attempt("stock")
+            self.at += 0.1
+        spent = sum(ratio.allow("stock") for _ in range(500))
+        self.assertLessEqual(spent, 0.2 * 105 + 3)
+        self.at += 5.0
+        self.assertFalse(ratio.allow("stock"))
+        self.at += 6.0
+        self.assertTrue(ratio.allow("stock"))
+
+    def test_without_requests_only_the_part_is_left(self):
+        self.members = 4
+        ratio = self.ratio()
+        self.assertEqual(sum(ratio.allow("stock") for _ in range(99)), 10)
+
+
 class RuleTests(unittest.TestCase):
     def setUp(self):
         self.policy = Policy()
