Run real daemons against a stand-in of the platform

Change: a store and an upstream by their published protocol, in tests, and five functional tests with two real daemons each.

--- /dev/null
+++ b/tests/functional/test_platform.py
@@ -0,0 +1,232 @@
+"""Real daemons with the platform's adapter, against stand-ins."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from tests.lib.platform_store import PlatformStore
+from tests.lib.platform_upstream import Upstream
+
+COMMAND = [sys.executable, "-P", "-m", "papayabay_platform"]
+BOUND_SECONDS = 30.0
+HOSTS = ("127.0.0.2", "127.0.0.3")
+PORTS = ("outbound", "ready", "control", "app", "internal")
+BOOT = """
+[self]
+nodeId = "vm-{number}"
+ip = "{host}"
+zone = "zone-{number}"
+region = "r"
+appAddr = "{host}:{app}"
+service = "{service}"
+[network]
+internalPorts = [{internal},{last}]
+[network.listenAddrs]
+outbound = "{host}:{outbound}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+[platform]
+heartbeat = "100ms"
+[platform.platform]
+address = "127.0.0.1:{store}"
+[terms.bounds]
+grace = "3s"
+retryBudgetRatio = 0.2
+retryWindow = "10s"
+retryBudgetMin = 47
+"""
+CONFIGURATION = {
+    "version": "r3",
+    "routes": [
+        {
+            "name": "read",
+            "host": "h.example",
+            "prefix": "/read/",
+            "kind": "safe",
+            "timeout": "5s",
+            "priority": 1,
+            "service": "svc-1",
+            "attempts": 2,
+        }
+    ],
+    "services": [{"name": "svc-1"}, {"name": "svc-0"}],
+}
+
+
+def free_ports(host):
+    """Return a free port for each of `PORTS`; `internal` begins three."""
+    sockets = [socket.create_server((host, 0)) for _ in PORTS]
+    ports = [taken.getsockname()[1] for taken in sockets]
+    for taken in sockets:
+        taken.close()
+    return dict(zip(PORTS, ports, strict=True))
+
+
+class Vm:
+    """One daemon process and the upstream beside it."""
+
+    def __init__(self, number, store, folder):
+        self.number = number
+        self.host = HOSTS[number]
+        self.ports = free_ports(self.host)
+        self.service = f"svc-{number}"
+        self.path = Path(folder) / f"{number}.toml"
+        internal = self.ports["internal"]
+        self.path.write_text(
+            BOOT.format(
+                number=number,
+                host=self.host,
+                service=self.service,
+                store=store.port,
+                last=internal + 15,
+                **self.ports,
+            )
+        )
+        self.process = None
+        self.upstream = Upstream(
+            self.service,
+            self.host,
+            self.ports["app"],
+            self.ports["control"],
+            f"i-{number}",
+        )
+
+    def start(self):
+        self.process = subprocess.Popen(
+            COMMAND,
+            env={**os.environ, "PAPAYABAY_CONFIG": str(self.path)},
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+
+    def url(self, door):
+        return f"http://{self.host}:{self.ports[door]}"
+
+
+class PlatformTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = PlatformStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        await self.store.put("op", "config", CONFIGURATION)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.vms = [Vm(number, self.store, folder) for number in range(2)]
+        for vm in self.vms:
+            await vm.upstream.start()
+            self.addAsyncCleanup(vm.upstream.stop)
+            vm.start()
+            self.addCleanup(vm.end)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        self.number = 0
+        await self.until(self.serves)
+
+    async def until(self, condition):
+        """Wait until a coroutine function returns something true."""
+        async with asyncio.timeout(BOUND_SECONDS):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    async def serves(self):
+        status, _, _ = await self.ask("/read/ready")
+        return status == 200
+
+    async def ask(self, path, vm=0, host="h.example"):
+        """Return status, fields and body; 0 without an answer."""
+        self.number += 1
+        fields = {
+            "Host": host,
+            "X-Papayabay-Request-Id": f"{self.number:x}",
+            "X-Papayabay-Deadline-Ms": "5000",
+        }
+        url = self.vms[vm].url("outbound") + path
+        try:
+            async with self.session.get(url, headers=fields) as response:
+                return response.status, response.headers, await response.text()
+        except aiohttp.ClientError:
+            return 0, {}, ""
+
+    async def ready(self, vm):
+        async with self.session.get(self.vms[vm].url("ready") + "/ready") as response:
+            return response.status
+
+    async def test_a_request_crosses_two_daemons_and_comes_back_as_it_is(self):
+        status, fields, body = await self.ask("/read/1?x=%20y")
+        self.assertEqual((status, body), (200, "i-1 ran /read/1?x=%20y"))
+        self.assertEqual(fields["X-Papayabay-Upstream-Signature"], "signed-i-1")
+        self.assertEqual(fields["X-Papayabay-Request-Id"], f"{self.number:x}")
+        _, seen = self.vms[1].upstream.seen[-1]
+        self.assertEqual(seen["x-papayabay-caller-service"], "svc-0")
+        self.assertLessEqual(int(seen["x-papayabay-deadline-ms"]), 5_000)
+        self.assertEqual(seen["host"], "h.example")
+        self.assertEqual(await self.ready(0), 200)
+        self.assertEqual((await self.ask("/else/1"))[0], 404)
+
+    async def test_a_new_version_is_in_force_at_all_and_outlives_the_store(self):
+        changed = CONFIGURATION | {"version": "r8", "routes": []}
+        await self.store.put("op", "config", changed)
+
+        async def gone():
+            answers = [await self.ask("/read/1", vm) for vm in range(2)]
+            return [status for status, _, _ in answers] == [404, 404]
+
+        await self.until(gone)
+        self.store.failing = 503
+        self.assertTrue(await gone())
+
+    async def test_a_draining_upstream_gets_nothing_new(self):
+        """A leaving upstream got work after its report was acknowledged."""
+        upstream = self.vms[1].upstream
+        upstream.state = "draining"
+        await asyncio.wait_for(upstream.acknowledged.wait(), BOUND_SECONDS)
+        served = len(upstream.seen)
+        status, fields, _ = await self.ask("/read/1")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", fields)
+        self.assertEqual(len(upstream.seen), served)
+
+    async def test_a_stop_cuts_off_no_request(self):
+        """Symptom: a request in flight was lost when its daemon was stopped.
+
+        Sequence: the upstream works on it; the daemon beside it, and then
+        the one that took it, get SIGTERM; the upstream answers after that.
+        """
+        upstream = self.vms[1].upstream
+        upstream.hold.clear()
+        running = len(upstream.seen)
+        asked = asyncio.create_task(self.ask("/read/slow"))
+
+        async def runs():
+            return len(upstream.seen) > running
+
+        await self.until(runs)
+        for vm in self.vms:
+            vm.process.send_signal(signal.SIGTERM)
+
+        async def refused():
+            return await self.ready(0) == 503
+
+        await self.until(refused)
+        upstream.hold.set()
+        status, _, body = await asked
+        self.assertEqual((status, body), (200, "i-1 ran /read/slow"))
+        for vm in self.vms:
+            ended = await asyncio.to_thread(vm.process.wait, BOUND_SECONDS)
+            self.assertEqual(ended, 0)
+
+    async def test_a_killed_daemon_is_back_and_serves(self):
+        self.vms[1].end()
+        self.vms[1].start()
+        await self.until(self.serves)
--- /dev/null
+++ b/tests/lib/platform_store.py
@@ -0,0 +1,112 @@
+"""A stand-in of the platform's store, by its published protocol, in memory."""
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+
+class PlatformStore:
+    """Rows with versions, conditional writes and a feed of changes.
+
+    Attributes
+    ----------
+    failing : int
+        Status that every call is answered with; 0 while it serves.
+    calls : dict of str to int
+        How often each path was called.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.changed = asyncio.Condition()
+        self.failing = 0
+        self.calls = {}
+        self.runner = None
+        self.port = 0
+
+    async def start(self, host="127.0.0.1"):
+        application = web.Application(middlewares=[self.count])
+        application.add_routes(
+            [
+                web.get("/rows-get", self.get_rows),
+                web.get("/rows-feed", self.feed_rows),
+                web.post("/rows-tx", self.write_rows),
+            ]
+        )
+        self.runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, host, self.port)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self):
+        await self.runner.cleanup()
+
+    @web.middleware
+    async def count(self, request, handler):
+        self.calls[request.path] = self.calls.get(request.path, 0) + 1
+        if self.failing:
+            return web.Response(status=self.failing)
+        return await handler(request)
+
+    async def put(self, table, key, values):
+        """Write a row as the operator does."""
+        content = base64.b64encode(json.dumps(values).encode()).decode()
+        async with self.changed:
+            self.version += 1
+            self.rows[table, key] = (content, self.version)
+            self.changed.notify_all()
+
+    def page(self, rows):
+        listed = [
+            {"table": table, "part": "", "key": key, "value": value, "ver": version}
+            for (table, key), (value, version) in rows
+        ]
+        return web.json_response({"rows": listed, "ver": self.version, "now": "1ms"})
+
+    async def get_rows(self, request):
+        query = request.query
+        first, end = query.get("from", ""), query.get("to", "\U0010ffff")
+        limit = int(query.get("limit", 500))
+        chosen = sorted(
+            item
+            for item in self.rows.items()
+            if item[0][0] == query["table"] and first <= item[0][1] < end
+        )
+        return self.page(chosen[:limit])
+
+    async def feed_rows(self, request):
+        table, after = request.query["table"], int(request.query["after"])
+
+        def news():
+            return [
+                item
+                for item in self.rows.items()
+                if item[0][0] == table and item[1][1] > after
+            ]
+
+        async with self.changed:
+            try:
+                async with asyncio.timeout(int(request.query["waitMs"]) / 1_000):
+                    await self.changed.wait_for(news)
+            except TimeoutError:
+                pass
+            return self.page(news())
+
+    async def write_rows(self, request):
+        body = await request.json()
+        async with self.changed:
+            for row in body["expected"]:
+                _, version = self.rows.get((row["table"], row["key"]), ("", 0))
+                if version != row["ver"]:
+                    return web.json_response({"rows": []}, status=412)
+            self.version += 1
+            for row in body["puts"]:
+                self.rows[row["table"], row["key"]] = (row["value"], self.version)
+            for row in body["deletes"]:
+                self.rows.pop((row["table"], row["key"]), None)
+            self.changed.notify_all()
+        return web.json_response({"ver": self.version, "now": "1ms"})
--- /dev/null
+++ b/tests/lib/platform_upstream.py
@@ -0,0 +1,86 @@
+"""A stand-in of an upstream: it reports itself and answers, signed."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+HEARTBEAT_SECONDS = 0.1
+
+
+class Upstream:
+    """One process of a service, within the test's own process.
+
+    Attributes
+    ----------
+    seen : list of (str, dict)
+        Path and header fields of each request that it ran.
+    hold : asyncio.Event
+        Requests wait for it before they are answered.
+    """
+
+    def __init__(self, service, host, port, control_port, instance):
+        self.service = service
+        self.host = host
+        self.port = port
+        self.control = f"http://{host}:{control_port}"
+        self.instance = instance
+        self.state = "ready"
+        self.sequence = 0
+        self.seen = []
+        self.hold = asyncio.Event()
+        self.hold.set()
+        self.acknowledged = asyncio.Event()
+
+    async def start(self):
+        application = web.Application()
+        application.router.add_route("*", "/{tail:.*}", self.answer)
+        self.runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, self.host, self.port).start()
+        self.task = asyncio.create_task(self.report())
+
+    async def stop(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.runner.cleanup()
+
+    async def answer(self, request):
+        fields = {name.lower(): value for name, value in request.headers.items()}
+        if fields["x-papayabay-expected-instance"] != self.instance:
+            return web.Response(status=421)
+        self.seen.append((request.path_qs, fields))
+        await self.hold.wait()
+        return web.Response(
+            text=f"{self.instance} ran {request.path_qs}",
+            headers={
+                "X-Papayabay-Request-Id": fields["x-papayabay-request-id"],
+                "X-Papayabay-Upstream-Signature": f"signed-{self.instance}",
+            },
+        )
+
+    async def report(self):
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await self.beat(session)
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def beat(self, session):
+        self.sequence += 1
+        heartbeat = {
+            "address": f"{self.host}:{self.port}",
+            "info": {"service": self.service, "zone": "a", "slots": 4, "version": "v1"},
+            "status": {
+                "state": self.state,
+                "seqNo": self.sequence,
+                "warmupLeft": "0ms",
+            },
+        }
+        url = f"{self.control}/Instances.Heartbeat/{self.instance}"
+        said = self.state
+        try:
+            async with session.post(url, json=heartbeat) as response:
+                if response.status == 200 and said == "draining":
+                    self.acknowledged.set()
+        except aiohttp.ClientError:
+            pass
