Tell a full target from one that fails by itself

And an upstream's own 500 was final although others would have served the call.

Change: a refusal by a target that reports free slots is TARGET_REJECTED: it cuts no slots, counts against the upstream and may be repeated elsewhere. A 5xx of a target none of whose own calls failed may be repeated for calls that may run twice.

--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -56,6 +56,7 @@
     TARGET_LOST = 21
     LINK_LOST = 22
     CALLER_LEFT = 23
+    TARGET_REJECTED = 24
     KEY_MISSING = 30
     KEY_CONFLICT = 31
     KEY_IN_PROGRESS = 32
@@ -123,6 +124,9 @@
     ErrorKind.TARGET_SHED: ErrorAnswer(
         503, _NOT_RUN, Retry.LATER, True, "The target refused it before running it."
     ),
+    ErrorKind.TARGET_REJECTED: ErrorAnswer(
+        503, _NOT_RUN, Retry.LATER, True, "The target refused it with slots free."
+    ),
     ErrorKind.TARGET_UNREACHABLE: ErrorAnswer(
         502, _NOT_RUN, Retry.LATER, True, "The target could not be connected to."
     ),
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/service_times.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/service_times.py
@@ -13,6 +13,7 @@
 NOT_SERVED = frozenset(
     {
         ErrorKind.TARGET_SHED,
+        ErrorKind.TARGET_REJECTED,
         ErrorKind.TARGET_UNREACHABLE,
         ErrorKind.LEAVING,
         ErrorKind.REFUSED_BELOW,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -17,6 +17,7 @@
 from papayabay_daemon._internal.lifetime.ranks import rank_of
 from papayabay_daemon._internal.retries import CreditAccount
 
+SERVER_ERROR = 500
 UNLIMITED_SECONDS = 600.0
 """Life of a request where policy turns deadlines off."""
 
@@ -274,11 +275,13 @@
         live.children.add(task)
         live.called.add(rule.path_key)
         try:
-            return await answer_or_error(
+            answer = await answer_or_error(
                 self.run(call, rule, live.account), call.request_id
             )
         finally:
             live.children.discard(task)
+        live.refused_below |= answer.status >= SERVER_ERROR
+        return answer
 
     def child_call(self, incoming, rule, parent):
         """Return the call that a target makes for a live one."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -4,6 +4,8 @@
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.lifetime.ranks import per_hop_rank
 
+SERVER_ERROR = 500
+
 
 class Receiver:
     """Takes calls for the target beside this daemon.
@@ -84,6 +86,9 @@
             answer.body.rest = self.finish_after(
                 answer.body.rest, token, live, ticket, answer
             )
+        # A target that passes on what failed below it would fail elsewhere
+        # too; no daemon above need try.
+        answer.exhausted |= live.refused_below and answer.status >= SERVER_ERROR
         answer.credits_left = live.account.close()
         answer.load = self.parts.admission.load(call.path_key)
         return answer
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -31,6 +31,8 @@
         Outgoing calls under way.
     called : set of str
         Path keys of the services below that it has called.
+    refused_below : bool
+        Whether one of its outgoing calls ended in a failure.
     """
 
     call: Call
@@ -38,6 +40,7 @@
     repeats: RepeatDebit
     children: set[asyncio.Task] = field(default_factory=set)
     called: set[str] = field(default_factory=set)
+    refused_below: bool = False
 
 
 class CallTree:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -8,6 +8,7 @@
 MAX_PAUSE_DOUBLINGS = 6
 LIFE_SHARE = 0.25
 SERVER_ERROR = 500
+EXPIRED_STATUS = 504
 
 
 class RetryRules:
@@ -72,9 +73,9 @@
 
     def objection(self, call, answer, account, tried):
         """Return why not to retry, or "" after paying for a retry."""
-        if answer.kind is None:
+        if answer.kind is None and not failed_by_itself(answer):
             return "answered"
-        if not ERROR_ANSWERS[answer.kind].elsewhere:
+        if answer.kind is not None and not ERROR_ANSWERS[answer.kind].elsewhere:
             return "final"
         if answer.exhausted:
             return "exhausted-below"
@@ -118,6 +119,17 @@
     )
 
 
+def failed_by_itself(answer):
+    """Return whether a target failed, and not one that it called.
+
+    An upstream may fail a part of its calls while it looks healthy; another
+    one would have served them. A failure that comes from further down would
+    only come again, with all the work between.
+    """
+    expired = answer.status == EXPIRED_STATUS
+    return answer.status >= SERVER_ERROR and not (expired or answer.exhausted)
+
+
 def is_unsafe(call, answer):
     """Return whether running the call again might double its effect."""
     return answer.effect is not Effect.NOT_RUN and not call.idempotent
@@ -131,5 +143,5 @@
     the overloaded service; one would see more retries the deeper the chain.
     """
     if answer.kind is None:
-        return False
+        return answer.exhausted
     return answer.exhausted or attempts > 1 or answer.kind is ErrorKind.OVERLOADED
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/ejection.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/ejection.py
@@ -7,6 +7,7 @@
     ErrorKind.LINK_LOST: 2,
     ErrorKind.TARGET_UNREACHABLE: 2,
     ErrorKind.TARGET_LOST: 2,
+    ErrorKind.TARGET_REJECTED: 2,
     # Half as much: a call may also expire through services further down.
     ErrorKind.EXPIRED: 1,
 }
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -16,6 +16,7 @@
 NOT_MODIFIED = 304
 REFUSALS = {
     Verdict.SHED: ErrorKind.TARGET_SHED,
+    Verdict.REJECTED: ErrorKind.TARGET_REJECTED,
     Verdict.REFUSED_BELOW: ErrorKind.REFUSED_BELOW,
 }
 MAX_STRAY_ANSWERS = 4
@@ -124,7 +125,8 @@
         Raises
         ------
         CallError
-            TARGET_SHED or REFUSED_BELOW, not run; TARGET_LOST.
+            TARGET_SHED, TARGET_REJECTED or REFUSED_BELOW, not run;
+            TARGET_LOST.
         """
         status, raw_headers = await self.receive_own(exchange, call)
         idle_seconds = self.dialect.idle_seconds(raw_headers)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -20,12 +20,15 @@
 class Verdict(Enum):
     """What an answer of the target is worth.
 
-    ``ANSWER`` goes to the caller as it is. ``SHED`` and ``REFUSED_BELOW``
-    promise that the call was not run. After ``DOUBTFUL`` nobody knows.
+    ``ANSWER`` goes to the caller as it is. ``SHED``, ``REJECTED`` and
+    ``REFUSED_BELOW`` promise that the call was not run; ``REJECTED`` comes
+    from a target that says it has slots free, so that handing over fewer
+    calls would not help. After ``DOUBTFUL`` nobody knows.
     """
 
     ANSWER = "answer"
     SHED = "shed"
+    REJECTED = "rejected"
     REFUSED_BELOW = "refused-below"
     DOUBTFUL = "doubtful"
 
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -42,6 +42,13 @@
             (500, (OWN, SIGNATURE), Verdict.ANSWER),
             (503, (OWN,), Verdict.ANSWER),
             (503, (not_run,), Verdict.SHED),
+            (503, (not_run, (b"X-Papayabay-Upstream-Load", b"8,9,8")), Verdict.SHED),
+            (503, (not_run, (b"X-Papayabay-Upstream-Load", b"odd")), Verdict.SHED),
+            (
+                503,
+                (not_run, (b"X-Papayabay-Upstream-Load", b"3,0,8")),
+                Verdict.REJECTED,
+            ),
             (429, (OWN, not_run), Verdict.SHED),
             (421, (), Verdict.SHED),
         ):
