--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -17,6 +17,7 @@
 from papayabay_daemon._internal.lifetime.ranks import rank_of
 from papayabay_daemon._internal.retries import CreditAccount
 
+SERVER_ERROR = 500
 UNLIMITED_SECONDS = 600.0
 """Life of a request where policy turns deadlines off."""
 
@@ -225,6 +226,7 @@
             idempotent=rule.idempotent,
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
+            attempts=rule.attempts,
         )
 
     def count(self, rule, answer, elapsed):
@@ -273,11 +275,13 @@
         live.children.add(task)
         live.called.add(rule.path_key)
         try:
-            return await answer_or_error(
+            answer = await answer_or_error(
                 self.run(call, rule, live.account), call.request_id
             )
         finally:
             live.children.discard(task)
+        live.refused_below |= answer.status >= SERVER_ERROR
+        return answer
 
     def child_call(self, incoming, rule, parent):
         """Return the call that a target makes for a live one."""
@@ -300,6 +304,7 @@
             idempotent=rule.idempotent,
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
+            attempts=rule.attempts,
         )
 
     def debit_repeat(self, live, incoming):
