--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -262,24 +262,20 @@
         """
         if not self.parts.settings.calls.infer_parents:
             return
-        token = self.tree.running(incoming.parent_id)
-        if not token and incoming.deadline_ms is not None:
-            token = self.tree.expiring_at(now() + incoming.deadline_ms / 1_000)
-        incoming.call_token = token
+        expires_at = None
+        if incoming.deadline_ms is not None:
+            expires_at = now() + incoming.deadline_ms / 1_000
+        incoming.call_token = self.tree.parent_of(incoming.parent_id, expires_at)
 
     async def run_child(self, incoming, rule, live):
         """Run a call that the own target makes for a live one."""
         self.parts.counters.outgoing += 1
         call = self.child_call(incoming, rule, live.call)
-        task = asyncio.current_task()
-        live.children.add(task)
         live.called.add(rule.path_key)
-        try:
-            answer = await answer_or_error(
-                self.run(call, rule, live.account), call.request_id
-            )
-        finally:
-            live.children.discard(task)
+        answer = await answer_or_error(
+            self.tree.while_wanted(live, self.run(call, rule, live.account)),
+            call.request_id,
+        )
         live.refused_below |= answer.status >= SERVER_ERROR
         return answer
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -29,6 +29,8 @@
         Finds the target's own repeats among its outgoing calls.
     children : set of asyncio.Task
         Outgoing calls under way.
+    cut : bool
+        Whether it ended without its target's answer.
     called : set of str
         Path keys of the services below that it has called.
     refused_below : bool
@@ -41,6 +43,7 @@
     children: set[asyncio.Task] = field(default_factory=set)
     called: set[str] = field(default_factory=set)
     refused_below: bool = False
+    cut: bool = False
 
 
 class CallTree:
@@ -52,11 +55,14 @@
     tokens : dict of str to str
         Newest token by request id. Where ids are those of whole requests,
         several calls may share one.
+    parents_named : bool
+        Whether any request has named the call that it was made for.
     """
 
     def __init__(self):
         self.live = {}
         self.tokens = {}
+        self.parents_named = False
         self.numbers = itertools.count(1)
         self.secret = secrets.token_hex(4)
 
@@ -83,9 +89,25 @@
             raise CallError(ErrorKind.UNKNOWN_CALL)
         return live
 
-    def running(self, request_id):
-        """Return the token of the call with a request id, "" if none runs."""
-        return self.tokens.get(request_id, "")
+    def parent_of(self, parent_id, expires_at):
+        """Return the token of the call that a request is made for, or "".
+
+        By the end of life, one request in thirty that callers sent was tied
+        to a call of the target by chance. So that is left as soon as targets
+        are seen to name their parents.
+
+        Parameters
+        ----------
+        parent_id : str
+            What the request seems to name; empty for nothing.
+        expires_at : float or None
+            End of its life on `clock.now()`.
+        """
+        token = self.tokens.get(parent_id, "")
+        self.parents_named = self.parents_named or bool(token)
+        if token or self.parents_named or expires_at is None:
+            return token
+        return self.expiring_at(expires_at)
 
     def expiring_at(self, expires_at):
         """Return the token of the call that ends at a time, "" if none does.
@@ -122,5 +144,32 @@
             del self.tokens[live.call.request_id]
         if not cancelled:
             return
+        live.cut = True
         for child in live.children:
             child.cancel()
+
+    async def while_wanted(self, live, running):
+        """Return what a call for a live one ends with.
+
+        The end of the live call cancels it. Its target, which may wait for it
+        all the same, gets an answer then: a connection closed without one
+        would tell it that this daemon failed.
+
+        Raises
+        ------
+        CallError
+            CALLER_LEFT when the live call was cut.
+        """
+        task = asyncio.current_task()
+        live.children.add(task)
+        try:
+            return await running
+        except asyncio.CancelledError:
+            # Both may have come together, the target's leaving and the cut.
+            # The answer then goes to nobody.
+            if not live.cut:
+                raise
+            task.uncancel()
+            raise CallError(ErrorKind.CALLER_LEFT, "the call it was for") from None
+        finally:
+            live.children.discard(task)
