--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
@@ -12,7 +12,8 @@
 
 MAX_HEADER_FIELDS = 256
 KEEP_ALIVE_SECONDS = 75.0
-CLOSE_SECONDS = 1.0
+CLOSE_SECONDS = 0.5
+"""What a door waits for at its end; nothing runs any more after a drain."""
 LINGER_SECONDS = 2.0
 BACKLOG = 1024
 MAX_CONNECTIONS = 16_384
