Leave a part of the repeats to the more important classes

Cause: while all upstreams of a service fail half of their calls, the budget of repeats is spent first come, first served; look-ups, whose requests make four such calls, spend it on requests of which one in ten can still complete.

Change: the least class may use half of a window's budget, the middle one nine tenths.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -90,7 +90,7 @@
         # Checked before the ratio spends a token that no retry would use.
         if account.held < 1:
             return "no-credit"
-        if not self.ratio.allow(call.service):
+        if not self.ratio.allow(call.service, call.importance):
             return "ratio"
         account.spend()
         return ""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
@@ -1,5 +1,6 @@
 """The share of calls that may be repeats, per service."""
 
+from papayabay_core.importance import Importance
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.retries.window import RepeatWindow
 
@@ -54,11 +55,11 @@
         earned = retries.ratio
         bucket.tokens = min(max(BURST_TOKENS, bucket.tokens), bucket.tokens + earned)
 
-    def allow(self, service):
+    def allow(self, service, importance=Importance.CRITICAL):
         """Spend a token for a repeat; return False when there is none."""
         retries = self.policy_source().retries(service)
         if retries.window_ms is not None:
-            return self.allow_in_window(service, retries)
+            return self.allow_in_window(service, retries, importance)
         bucket = self.bucket(service)
         self.refill(bucket)
         if bucket.tokens < 1.0:
@@ -68,9 +69,10 @@
         self.allowed += 1
         return True
 
-    def allow_in_window(self, service, retries):
+    def allow_in_window(self, service, retries, importance):
         """Count a repeat if the share of the window's budget has room."""
-        allowed = self.window(service).allow(retries, self.members())
+        window = self.window(service)
+        allowed = window.allow(retries, self.members(), importance)
         self.allowed += allowed
         self.refused += not allowed
         return allowed
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -3,6 +3,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from papayabay_core.importance import Importance
+
 SLICES = 20
 """Parts that a window is counted in; the oldest leaves whole, so that up to a
 twentieth more than a window is looked back on."""
@@ -11,6 +13,15 @@
 fewer or more than others do."""
 
 
+CLASS_SHARES = {
+    Importance.CRITICAL: 1.0,
+    Importance.NORMAL: 0.9,
+    Importance.SHEDDABLE: 0.5,
+}
+"""Part of the budget that each class may use up. When all upstreams of a
+service fail, the many calls of the least class would else spend it all."""
+
+
 @dataclass(slots=True)
 class Slice:
     """What was counted in one part of the window."""
@@ -52,7 +63,7 @@
         """Note a first attempt."""
         self.current(retries.window_ms / 1_000).firsts += 1
 
-    def allow(self, retries, members):
+    def allow(self, retries, members, importance=Importance.CRITICAL):
         """Return whether one more repeat fits, and count it if so.
 
         Parameters
@@ -61,12 +72,14 @@
             With a `window_ms`.
         members : int
             Daemons that share the budget.
+        importance : Importance
+            Less important calls may not spend all of it.
         """
         current = self.current(retries.window_ms / 1_000)
         firsts = sum(part.firsts for part in self.slices)
         repeats = sum(part.repeats for part in self.slices)
         budget = retries.ratio * firsts + retries.window_repeats / max(1, members)
-        if repeats + 1 > (1.0 - SPARE_SHARE) * budget:
+        if repeats + 1 > (1.0 - SPARE_SHARE) * CLASS_SHARES[importance] * budget:
             return False
         current.repeats += 1
         return True
--- a/tests/unit/daemon/test_retries_rules.py
+++ b/tests/unit/daemon/test_retries_rules.py
@@ -168,6 +168,20 @@
         self.at += 6.0
         self.assertTrue(ratio.allow("stock"))
 
+    def test_the_least_class_leaves_a_part_to_the_others(self):
+        """Queries failed although the budget had been there for them.
+
+        All upstreams of a service failed half of their calls; look-ups, six
+        times as many, had spent the budget on calls of which one in ten
+        requests could still complete.
+        """
+        ratio = self.ratio()
+        for _ in range(1_000):
+            ratio.first_attempt("stock")
+        spent = sum(ratio.allow("stock", Importance.SHEDDABLE) for _ in range(400))
+        left = sum(ratio.allow("stock", Importance.CRITICAL) for _ in range(400))
+        self.assertAlmostEqual(spent, left, delta=2)
+
     def test_without_requests_only_the_part_is_left(self):
         self.members = 4
         ratio = self.ratio()
