Ask lost members again at once

Cause: a daemon that restarts while the store is away knew nobody, and no version of the configuration, until its turn among the dead came, one in ten periods.

Change: two of the members lost within a minute are asked in each period.

Cost: two packets of some 300 bytes a period, for a minute after a loss.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
@@ -15,6 +15,10 @@
 URGENT_MAX = 8
 PROBES_FOR_OTHERS_MAX = 64
 DEAD_PROBE_PERIODS = 10
+MISSED_SECONDS = 60.0
+MISSED_PER_PERIOD = 2
+"""Members lost within a minute that are asked again in each period: nearly all
+restarts take less, and two packets are no more than a probe costs."""
 SEQUENCE_MASK = 0xFFFFFFFF
 
 
@@ -131,9 +135,25 @@
         member = self.next_member()
         if member is not None:
             group.create_task(self.probe(member))
+        for missing in self.missing():
+            self.ping(missing, self.next_sequence())
         if self.periods % DEAD_PROBE_PERIODS == 0 and self.table.tombstones:
             self.probe_dead()
 
+    def missing(self):
+        """Return a few of the members that were lost a short while ago.
+
+        A daemon that restarts finds the others by the store. While that is
+        away, nobody but those who lost it can tell it who is there and which
+        configuration is in force; in its turn it would be asked after many
+        seconds, in which its target serves nobody.
+        """
+        oldest = self.clock() - MISSED_SECONDS
+        lost = [name for name, died in self.table.tombstones.items() if died >= oldest]
+        names = [*lost, *self.suspicions]
+        drawn = self.random.sample(names, min(len(names), MISSED_PER_PERIOD))
+        return [self.table.members[name] for name in drawn]
+
     def probe_dead(self):
         """Ping one of the dead, telling it so."""
         position = self.random.randrange(len(self.table.tombstones))
--- a/tests/unit/daemon/test_membership_cluster.py
+++ b/tests/unit/daemon/test_membership_cluster.py
@@ -52,8 +52,10 @@
         with contextlib.suppress(asyncio.CancelledError):
             await task
 
-    async def start(self, name, domain="d1", **timing):
+    async def start(self, name, domain="d1", gossip_port=0, **timing):
         settings = make_settings(name, domain, **timing)
+        vm = settings.vm.model_copy(update={"gossip_port": gossip_port})
+        settings = settings.model_copy(update={"vm": vm})
         links = self.network.links(name)
         node = Membership(settings, self.table, links, seeded(name))
         node.set_ports(1, 2)
@@ -99,6 +101,25 @@
         a.note_link_lost("b")
         await asyncio.wait_for(probed.wait(), BOUND_SECONDS)
 
+    async def test_who_restarts_while_the_store_is_away_is_found_at_once(self):
+        """A restarted daemon knew nobody for the length of a store outage.
+
+        Its process is killed while the store is away, and starts again at
+        the same address. It can't read the seeds; those who lost it ask one
+        of the dead in ten periods, and it may be the last one's turn.
+        """
+        a, b, c = await self.start_many("abc")
+        port = b.local.gossip_port
+        await self.crash("b")
+        await self.crash("c")
+        await self.all_see((a,), 1)
+        self.table.down = True
+        self.network.cut.discard("b")
+        begun = a.detector.periods
+        b = await self.start("b", gossip_port=port)
+        await self.all_see((a, b), 2)
+        self.assertLess(a.detector.periods - begun, 8)
+
     async def test_a_daemon_called_dead_refutes(self):
         """A paused daemon stayed dead for all others after it resumed.
 
