Go on serving while callers learn that a daemon stops

Cause: a daemon that got SIGTERM refused calls for its target at once, and took callers' requests for 3 s more.

Change: not ready at once, everything as before for leaving_accept_ms, then leaving.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
@@ -88,36 +88,44 @@
     async def drain(self):
         """Leave without cutting a request.
 
-        New work is refused here at once, `not run`, so that it goes
-        elsewhere even while nobody has heard the gossip. Requests that
-        entered here, and calls that the target is running, go on to their
-        ends; the target's outgoing calls too.
+        First callers that ask whether this daemon is ready learn that it is
+        not, and need time for it. Nothing is refused meanwhile: the target
+        beside it is well, and this daemon the only way to it. Then new work
+        is refused at once, `not run`, so that it goes elsewhere even while
+        nobody has heard the gossip. Requests that entered here, and calls
+        that the target is running, go on to their ends; the target's
+        outgoing calls too.
         """
         daemon = self.daemon
-        log.notice("leaving: no new work, draining")
-        daemon.leaving = True
-        daemon.admission.leave()
+        daemon.stopping = True
         limits = daemon.settings.limits
-        await daemon.links.announce_leaving()
+        log.notice("stopping: not ready any more")
         try:
             async with asyncio.timeout(limits.drain_ms / 1000):
-                await asyncio.gather(self.end_entry(limits), daemon.membership.leave())
+                await asyncio.sleep(limits.leaving_accept_ms / 1000)
+                await self.leave(limits)
                 await daemon.admission.drained()
                 await daemon.flow.idle.wait()
         except TimeoutError:
             log.warning("drain took too long; {} calls cut", len(daemon.tree.live))
         log.notice("drained")
 
+    async def leave(self, limits):
+        """Take no new work, and let all others know."""
+        daemon = self.daemon
+        log.notice("leaving: no new work, draining")
+        daemon.leaving = True
+        daemon.admission.leave()
+        await daemon.links.announce_leaving()
+        await asyncio.gather(self.end_entry(limits), daemon.membership.leave())
+
     async def end_entry(self, limits):
-        """Take callers' requests until callers know better.
+        """Take no more requests of callers.
 
-        Whoever finds out by asking whether this daemon is ready needs time
-        for it, and connects meanwhile; a closed port would fail requests
-        that could still be served. Where the target's own calls come by the
-        same door, it stays open for them to the end.
+        Where the target's own calls come by the same door, it stays open for
+        them to the end.
         """
         daemon = self.daemon
-        await asyncio.sleep(limits.leaving_accept_ms / 1000)
         daemon.caller_door.end_connections()
         if not daemon.settings.calls.infer_parents:
             await daemon.caller_door.stop_accepting()
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -54,6 +54,7 @@
         self.settings = settings
         self.environment = environment or own_environment(settings)
         self.random = random.Random()
+        self.stopping = False
         self.leaving = False
         self.build_state()
         self.build_decisions()
@@ -239,7 +240,7 @@
 
     def is_ready(self):
         """Whether callers had better send their requests here."""
-        return not self.leaving and self.policy().version > 0
+        return not self.stopping and self.policy().version > 0
 
     async def run(self):
         """Run until SIGTERM, then drain; return the exit code."""
