Ask the target at the start whether it runs already

Cause: a daemon that restarts beside a running target, killed or in planned work, knew nothing of it until its next heartbeat, 1.5 s apart; the target served nobody.

Change: where settings name the target's place and policy its health path, it is asked once; an answer that tells instance and slots announces it.

--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -92,6 +92,7 @@
     """One service."""
 
     deadline_ms: Milliseconds = 2_000
+    health_path: Annotated[str, Field(pattern=r"^/[\x21-\x7e]{0,200}$")] | None = None
     admission: Admission = Admission()
     retries: Retries = Retries()
     routing: Routing = Routing()
--- a/packages/papayabay-core/src/papayabay_core/settings.py
+++ b/packages/papayabay-core/src/papayabay_core/settings.py
@@ -151,6 +151,14 @@
     config_readers_per_domain: Annotated[int, Field(ge=1, le=16)] = 2
 
 
+class TargetSettings(Strict):
+    """A target whose place is known before it announces itself."""
+
+    service: Annotated[str, Field(min_length=1, max_length=63)]
+    host: MemberHost
+    port: Annotated[int, Field(ge=1, le=65_535)]
+
+
 class DaemonSettings(Strict):
     """All settings of `papayabayd`."""
 
@@ -164,6 +172,7 @@
     limits: LimitSettings = LimitSettings()
     timing: TimingSettings = TimingSettings()
     calls: CallSettings = CallSettings()
+    target: TargetSettings | None = None
 
 
 class OperatorSettings(Strict):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/settings_file.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/settings_file.py
@@ -75,6 +75,6 @@
     return [
         f"{table}.{key}"
         for table, values in new.items()
-        for key, value in values.items()
-        if value != old[table][key]
+        for key, value in (values or {}).items()
+        if value != (old[table] or {}).get(key)
     ]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from papayabay_core.calls import Call
+from papayabay_core.settings import TargetSettings
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.target.announcement import Announcement
 
@@ -63,6 +64,14 @@
     def idle_seconds(self, raw_headers) -> float | None:
         """Return how long the target keeps an idle connection, if it says."""
 
+    def announced(
+        self, target: TargetSettings, status: int, raw_headers
+    ) -> Announcement | None:
+        """Return what the answer to a question for health amounts to.
+
+        None when the target is not well, or doesn't say enough of itself.
+        """
+
 
 class OwnTargetDialect:
     """The `TargetDialect` of papayabay's own header fields."""
@@ -94,6 +103,10 @@
         """Return what a Keep-Alive field says."""
         return keep_alive_seconds(raw_headers)
 
+    def announced(self, target, status, raw_headers):
+        """Return None: these targets only announce themselves."""
+        return None
+
 
 def own_fields(call, call_token):
     """Return the fields by which a target learns of its call."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -31,6 +31,7 @@
 from papayabay_daemon._internal.status.routes import StatusRoutes
 from papayabay_daemon._internal.supervisor import Child, Supervisor
 from papayabay_daemon._internal.target import HttpTargetClient, TargetRegistry
+from papayabay_daemon._internal.target.asking import TargetAsking
 from papayabay_daemon.environment import own_environment
 
 
@@ -97,6 +98,8 @@
             self.router.has_other,
         )
         self.registry.listeners.append(self.target_changed)
+        dialect = self.environment.target_dialect
+        self.asking = TargetAsking(self.settings, self.policy, self.registry, dialect)
         self.keeper.on_change(self.policy_changed)
         self.links.on_leaving(self.membership.mark_leaving)
 
@@ -171,6 +174,7 @@
         children = [
             Child("control", self.control.run),
             Child("target lease", self.registry.watch),
+            Child("target asking", self.asking.run),
             Child("metrics", self.metrics.run),
             Child("pause watch", self.pause.run),
         ]
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -57,7 +57,9 @@
             "attempts": 2,
         }
     ],
-    "services": [{"name": "svc-1"}, {"name": "svc-0"}],
+    "services": [
+        {"name": name, "healthCheckPath": "/healthz"} for name in ("svc-0", "svc-1")
+    ],
 }
 
 
@@ -226,7 +228,14 @@
             ended = await asyncio.to_thread(vm.process.wait, BOUND_SECONDS)
             self.assertEqual(ended, 0)
 
-    async def test_a_killed_daemon_is_back_and_serves(self):
+    async def test_a_killed_daemon_is_back_and_serves_before_the_next_beat(self):
+        """Symptom: a target served nobody after its daemon was back.
+
+        Sequence: the daemon is killed and started again, the upstream runs
+        on and will send its next heartbeat later. Cause: the daemon waited
+        for it.
+        """
+        self.vms[1].upstream.beating.clear()
         self.vms[1].end()
         self.vms[1].start()
         await self.until(self.serves)
--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -15,6 +15,8 @@
     ----------
     seen : list of (str, dict)
         Path and header fields of each request that it ran.
+    beating : asyncio.Event
+        Heartbeats are sent while it is set.
     hold : asyncio.Event
         Requests wait for it before they are answered.
     """
@@ -31,6 +33,8 @@
         self.hold = asyncio.Event()
         self.hold.set()
         self.acknowledged = asyncio.Event()
+        self.beating = asyncio.Event()
+        self.beating.set()
 
     async def start(self):
         application = web.Application()
@@ -47,6 +51,8 @@
 
     async def answer(self, request):
         fields = {name.lower(): value for name, value in request.headers.items()}
+        if request.path == "/healthz":
+            return self.health()
         if fields["x-papayabay-expected-instance"] != self.instance:
             return web.Response(status=421)
         self.seen.append((request.path_qs, fields))
@@ -59,9 +65,19 @@
             },
         )
 
+    def health(self):
+        return web.Response(
+            status=200 if self.state == "ready" else 503,
+            headers={
+                "X-Papayabay-Upstream-Instance": self.instance,
+                "X-Papayabay-Upstream-Load": "0,0,4",
+            },
+        )
+
     async def report(self):
         async with aiohttp.ClientSession() as session:
             while True:
+                await self.beating.wait()
                 await self.beat(session)
                 await asyncio.sleep(HEARTBEAT_SECONDS)
 
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -1,6 +1,7 @@
 import unittest
 
 from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.settings import TargetSettings
 from papayabay_daemon._internal.target import HttpTargetClient
 from papayabay_daemon.adapters import Announcement, Verdict
 from papayabay_platform.target_dialect import PlatformTargetDialect
@@ -55,6 +56,17 @@
             with self.subTest(status=status, fields=fields):
                 self.assertIs(self.judge(status, *fields), verdict)
 
+    def test_a_healthy_upstream_is_announced(self):
+        target = TargetSettings(service="svc", host="10.0.0.1", port=80)
+        instance = (b"X-Papayabay-Upstream-Instance", b"i-7")
+        load = (b"X-Papayabay-Upstream-Load", b"3,0,8")
+        announced = PlatformTargetDialect().announced
+        found = announced(target, 200, (instance, load))
+        self.assertEqual((found.incarnation, found.slots), ("i-7", 8))
+        self.assertIsNone(announced(target, 503, (instance, load)))
+        self.assertIsNone(announced(target, 200, (instance,)))
+        self.assertIsNone(announced(target, 200, (load,)))
+
     def test_head_names_the_instance_and_the_time_left(self):
         made = call()
         made.headers = [("Host", "hulo.example")]
