--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -1,5 +1,6 @@
 """One HTTP exchange with the platform, its failures put in two classes."""
 
+import socket
 from dataclasses import dataclass
 
 import aiohttp
@@ -12,6 +13,11 @@
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 NOT_APPLIED = frozenset({429, 503})
 SERVER_ERROR = 500
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 2
+"""A silent connection ends within 3 s: as long as a version may be missed after
+all connections have broken. A probe is a packet of 40 bytes a second, and no
+call that the platform counts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +98,9 @@
         """Return the session, made on first use."""
         if self.session is None:
             self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=CONNECTIONS),
+                connector=aiohttp.TCPConnector(
+                    limit=CONNECTIONS, socket_factory=watched_socket
+                ),
             )
         return self.session
 
@@ -103,6 +111,24 @@
             self.session = None
 
 
+def watched_socket(address_info):
+    """Return a socket whose connection ends when its other end is silent.
+
+    Something between may lose track of an open connection, or the platform
+    be cut off. A question that waits for changes would then wait for its
+    whole time, and a new version be missed meanwhile; new connections work.
+    """
+    family, kind, protocol, _, _ = address_info
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    silence_ms = KEEPALIVE_SECONDS * (KEEPALIVE_PROBES + 1) * 1_000
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+    return sock
+
+
 async def read_bounded(response):
     """Return a response's content.
 
--- a/tests/unit/core/test_platform_clients.py
+++ b/tests/unit/core/test_platform_clients.py
@@ -1,5 +1,6 @@
 """The platform clients against the stand-in."""
 
+import socket
 import unittest
 from unittest import mock
 
@@ -10,7 +11,28 @@
     PlatformError,
 )
 from papayabay_core.platform import HttpObjectStore, HttpTableService, Put
-from papayabay_core.platform.transport import MAX_RESPONSE_BYTES
+from papayabay_core.platform.transport import MAX_RESPONSE_BYTES, watched_socket
+
+
+class WatchedSocketTest(unittest.TestCase):
+    def test_a_silent_connection_ends(self):
+        """A version was missed for the length of an open question.
+
+        The connection on which the store would tell of it had gone silent;
+        nothing is sent on it meanwhile, so that nobody notices.
+        """
+        found = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ())
+        with watched_socket(found) as sock:
+            for level, option in (
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            ):
+                self.assertGreater(sock.getsockopt(level, option), 0)
+            options = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+            idle, interval, probes = (
+                sock.getsockopt(socket.IPPROTO_TCP, option) for option in options
+            )
+            self.assertLessEqual(idle + interval * probes, 3)
 
 
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
