--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -15,9 +15,9 @@
 SERVER_ERROR = 500
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_PROBES = 2
-"""A silent connection ends within 3 s: as long as a version may be missed after
-all connections have broken. A probe is a packet of 40 bytes a second, and no
-call that the platform counts."""
+"""A silent connection ends within 3 s: as long as a version may be missed
+after all connections have broken. A probe is a packet of 40 bytes a second,
+and no call that the platform counts."""
 
 
 @dataclass(frozen=True, slots=True)
