Give suspected members a module of their own

Change: who is suspected, and for how long, stands in membership/suspicion.py; behaviour is as before. Measured: the unit tests of membership pass.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
@@ -5,6 +5,7 @@
 
 from papayabay_daemon._internal.interfaces import MemberState
 from papayabay_daemon._internal.membership.packets import Kind, Update, encode_short
+from papayabay_daemon._internal.membership.suspicion import Suspicions
 
 HELPERS = 3
 DIRECT_SHARE = 0.3
@@ -31,14 +32,6 @@
     nacks: int = 0
 
 
-@dataclass(slots=True)
-class Suspicion:
-    """When a silent member is declared dead, unless it refutes."""
-
-    incarnation: int
-    deadline: float
-
-
 class Detector:
     """Probes one member a period, in random order, each once a round.
 
@@ -62,7 +55,7 @@
         self.clock = clock
         self.apply = apply
         self.probes = {}
-        self.suspicions = {}
+        self.suspicions = Suspicions(clock, self.suspicion_timeout)
         self.round = []
         self.urgent = {}
         self.wake = asyncio.Event()
@@ -120,9 +113,7 @@
         self.pauses += 1
         self.epoch += 1
         self.health = min(HEALTH_MAX, self.health + 1)
-        deadline = self.clock() + self.suspicion_timeout()
-        for suspicion in self.suspicions.values():
-            suspicion.deadline = deadline
+        self.suspicions.start_over()
 
     def start_period(self, group):
         """Probe the next member, and now and then one that is dead.
@@ -150,7 +141,7 @@
         """
         oldest = self.clock() - MISSED_SECONDS
         lost = [name for name, died in self.table.tombstones.items() if died >= oldest]
-        names = [*lost, *self.suspicions]
+        names = [*lost, *self.suspicions.names()]
         drawn = self.random.sample(names, min(len(names), MISSED_PER_PERIOD))
         return [self.table.members[name] for name in drawn]
 
@@ -265,7 +256,7 @@
         """Note an answer."""
         self.health = max(0, self.health - 1)
         if member.state is MemberState.LEAVING:
-            self.suspicions.pop(member.name, None)
+            self.suspicions.drop(member.name)
 
     def failed(self, member, probe, helpers):
         """Suspect a member; doubt oneself when not even helpers answered."""
@@ -275,37 +266,15 @@
             suspect = Update(member.name, member.incarnation, MemberState.SUSPECT)
             self.apply(suspect)
         elif member.state is MemberState.LEAVING:
-            self.watch(member)
-
-    def watch(self, member):
-        """Start the time after which a member is declared dead."""
-        known = self.suspicions.get(member.name)
-        if known is not None and known.incarnation == member.incarnation:
-            return
-        deadline = self.clock() + self.suspicion_timeout()
-        self.suspicions[member.name] = Suspicion(member.incarnation, deadline)
+            self.suspicions.watch(member)
 
     def suspicion_timeout(self):
         """Return the seconds that a suspect has; more when unwell oneself."""
         return self.suspicion * (1 + self.health)
 
-    def changed(self, member):
-        """Keep suspicions in step with a member's news."""
-        if member.state is MemberState.SUSPECT:
-            self.watch(member)
-        else:
-            self.suspicions.pop(member.name, None)
-
     def conclude(self):
         """Declare dead whose time is over."""
-        now = self.clock()
-        over = [
-            (name, suspicion.incarnation)
-            for name, suspicion in self.suspicions.items()
-            if suspicion.deadline <= now
-        ]
-        for name, incarnation in over:
-            del self.suspicions[name]
+        for name, incarnation in self.suspicions.take_over():
             self.apply(Update(name, incarnation, MemberState.DEAD))
 
     def take_ack(self, packet):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -184,7 +184,7 @@
             return
         if strange:
             self.detector.joined(member.name)
-        self.detector.changed(member)
+        self.detector.suspicions.changed(member)
         if gossip:
             self.gossip.news.add(member.name)
         self.tell(member)
