Bound the time that closing takes

Change: closing ends after 0.6 s, with a line that says so; a last line tells that the daemon has stopped.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
@@ -11,6 +11,9 @@
 
 from papayabay_core.exceptions import SettingsError
 
+CLOSE_SECONDS = 0.6
+"""Longest time for closing, after everything was drained: two thirds of what
+the platform leaves of the time until it kills."""
 log = logbook.Logger("papayabay.daemon")
 
 
@@ -50,7 +53,7 @@
         await self.drain()
         supervision.cancel()
         await asyncio.gather(supervision, return_exceptions=True)
-        await daemon.close()
+        await self.close_soon()
         return 0
 
     async def start(self):
@@ -132,6 +135,20 @@
         await asyncio.sleep(limits.leaving_grace_ms / 1000)
         daemon.flow.refusing = True
 
+    async def close_soon(self):
+        """Close every part, as far as that takes no longer than it may.
+
+        Parts that are still busy each wait a little for what they cancel.
+        Together that can last until the process is killed, which its platform
+        takes for a fault; nothing is left by then that is worth waiting for.
+        """
+        try:
+            async with asyncio.timeout(CLOSE_SECONDS):
+                await self.daemon.close()
+        except TimeoutError:
+            log.warning("parts were still busy after {} s", CLOSE_SECONDS)
+        log.notice("stopped")
+
     async def close(self):
         """Close every part."""
         daemon = self.daemon
