Send no further calls over a link in doubt

Change: a link that owes an answer, a heartbeat's too, for 0.6 s gets no new calls until it is heard again; its calls wait on as before.

--- a/packages/papayabay-core/src/papayabay_core/settings.py
+++ b/packages/papayabay-core/src/papayabay_core/settings.py
@@ -145,6 +145,7 @@
 
     link_heartbeat_ms: Milliseconds = 500
     link_silence_ms: Milliseconds = 2_000
+    link_doubt_ms: Milliseconds = 600
     gossip_period_ms: Milliseconds = 1_000
     suspicion_ms: Milliseconds = 4_000
     config_poll_ms: Milliseconds = 1_000
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/counters.py
@@ -13,6 +13,7 @@
     links_opened: int = 0
     links_lost: int = 0
     links_silent: int = 0
+    links_doubted: int = 0
     links_refused: int = 0
     links_replaced: int = 0
     links_overrun: int = 0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
@@ -40,6 +40,7 @@
         self.incoming = IncomingCalls(self, owner.handlers, inline_bytes)
         self.offset = ClockOffset()
         self.retired = False
+        self.doubted = False
         self.last_call = self.loop.time()
         self.stamped = False
         self.stamped_at = self.last_heard
@@ -68,6 +69,7 @@
 
     def end(self, reason):
         """Stop the heartbeat; answer all calls in flight."""
+        self.set_doubt(False)
         if self.heart is not None:
             self.heart.cancel()
         self.outgoing.lost(reason)
@@ -161,13 +163,15 @@
             moment = now()
             if not self.is_owed():
                 clear_at = moment
-            if watch.is_silent(moment, max(self.last_heard, clear_at)):
+            heard_at = max(self.last_heard, clear_at)
+            if watch.is_silent(moment, heard_at):
                 self.counters.links_silent += 1
                 self.owner.limited_log.warn(
                     "silent", "Link with {} went silent", self.peer_name
                 )
                 self.lose("the link went silent")
                 return
+            self.set_doubt(watch.is_doubtful(moment, heard_at))
             quiet = moment - self.last_heard
             if self.stamp_due(moment) or quiet >= self.patience(watch):
                 self.send_ping()
@@ -176,6 +180,17 @@
                 self.counters.links_idle += not self.retired
                 self.retire()
 
+    def data_received(self, data):
+        """Take bytes in; whatever they are, the peer is there."""
+        self.set_doubt(False)
+        super().data_received(data)
+
+    def set_doubt(self, doubted):
+        """Tell, on a change, whether new calls had better not go here."""
+        if doubted != self.doubted:
+            self.doubted = doubted
+            self.owner.peer_doubted(self.peer_name, doubted)
+
     def is_owed(self):
         """Whether the peer has to answer something."""
         return self.ping_us is not None or len(self.outgoing) > 0
@@ -188,7 +203,7 @@
         control may use; so they are only sent while they decide something.
         """
         if self.is_owed():
-            return watch.bound / 2
+            return min(watch.doubt, watch.bound) / 2
         if len(self.incoming):
             return watch.bound
         return QUIET_SECONDS + (0 if self.dialled else ACCEPTED_GRACE_SECONDS)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -90,6 +90,7 @@
         self.all_links = set()
         self.unproven = 0
         self.leaving_callbacks = []
+        self.doubt_callbacks = []
         self.server = None
         self.closing = False
 
@@ -314,6 +315,16 @@
         if peer is not None and peer.unused:
             del self.peers[link.peer_name]
 
+    def on_doubt(self, callback):
+        """Call back with a peer's name and whether its link is in doubt."""
+        self.doubt_callbacks.append(callback)
+
+    def peer_doubted(self, name, doubted):
+        """Pass on that a peer owes an answer for long, or was heard again."""
+        self.counters.links_doubted += doubted
+        for callback in self.doubt_callbacks:
+            callback(name, doubted)
+
     def peer_leaving(self, name):
         """Pass on what a peer said of itself."""
         for callback in self.leaving_callbacks:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/silence.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/silence.py
@@ -14,7 +14,9 @@
     def __init__(self, timing, moment):
         self.period = timing.link_heartbeat_ms / 1000
         self.bound = timing.link_silence_ms / 1000
+        self.doubt = timing.link_doubt_ms / 1000
         self.last_beat = moment
+        self.late = 0.0
 
     def is_silent(self, moment, last_heard):
         """Return whether the link is to be given up at this beat.
@@ -29,6 +31,19 @@
         moment, last_heard : float
             Now, and when something last came from the peer.
         """
-        late = moment - self.last_beat - self.period
+        self.late = moment - self.last_beat - self.period
         self.last_beat = moment
-        return moment - last_heard >= self.bound and late < self.period
+        return self.quiet_for(self.bound, moment, last_heard)
+
+    def is_doubtful(self, moment, last_heard):
+        """Return whether new calls had better go elsewhere for now.
+
+        To be asked after `is_silent`, for the same beat. A link is given up
+        late, since that leaves the end of its calls unknown; a call that
+        need not go there loses nothing by an early doubt.
+        """
+        return self.quiet_for(self.doubt, moment, last_heard)
+
+    def quiet_for(self, seconds, moment, last_heard):
+        """Whether so long passed, and not because this process paused."""
+        return moment - last_heard >= seconds and self.late < self.period
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -145,6 +145,13 @@
         pool = self.pools[service] = Pool(self.ejections)
         return pool
 
+    def note_doubt(self, name, doubted):
+        """Note whether the way to an upstream is in doubt."""
+        for pool in self.pools.values():
+            known = pool.states.get(name)
+            if known is not None:
+                known.doubted = doubted
+
     def started(self, member, call):
         """Note that an attempt was sent."""
         pool = self.pools.get(call.service)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
@@ -32,6 +32,9 @@
     member : Member
     in_flight : int
         Attempts of this daemon that haven't ended.
+    doubted : bool
+        Whether the link to it owes an answer for long; calls that were sent
+        there wait on, and no further ones follow them.
     load : LoadState or None
         The last one heard, at `heard_at`.
     latency : float
@@ -42,6 +45,7 @@
     """
 
     __slots__ = (
+        "doubted",
         "ejection",
         "error_at",
         "errors",
@@ -59,6 +63,7 @@
 
     def __init__(self, member, service_hints=None):
         self.in_flight = 0
+        self.doubted = False
         self.service_hints = service_hints
         self.ejection = Ejection()
         self.forget(member)
@@ -88,6 +93,7 @@
         return (
             at >= self.leaving_until
             and at >= self.ejection.until
+            and not self.doubted
             and self.member.state <= MemberState.SUSPECT
         )
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -102,6 +102,7 @@
         self.asking = TargetAsking(self.settings, self.policy, self.registry, dialect)
         self.keeper.on_change(self.policy_changed)
         self.links.on_leaving(self.membership.mark_leaving)
+        self.links.on_doubt(self.router.note_doubt)
 
     def build_calls(self):
         """Make the call flow."""
--- a/tests/unit/daemon/test_links_faults.py
+++ b/tests/unit/daemon/test_links_faults.py
@@ -333,6 +333,46 @@
         self.assertEqual(self.a.counters.links_opened, 2)
 
 
+class DoubtTests(SilentLinkTests):
+    """Links that may be silent, before they are given up."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        timing = {"link_heartbeat_ms": 20, "link_doubt_ms": 100}
+        self.a = await self.started(make_links("a", link_silence_ms=1_500, **timing))
+        self.doubts = asyncio.Queue()
+        self.a.on_doubt(lambda *doubt: self.doubts.put_nowait(doubt))
+
+    async def test_a_silent_link_is_in_doubt_until_it_is_given_up(self):
+        """A quarter of the calls of a service hung for two seconds.
+
+        One of its four machines goes dark. Its links are given up after 2 s,
+        as that leaves the ends of their calls unknown, and until then each
+        fourth call was sent there all the same.
+        """
+        stuck = asyncio.create_task(self.a.call(self.peer, make_call("/stuck")))
+        async with asyncio.timeout(BOUND):
+            await self.started_calls.get()
+            self.relay.silent = True
+            self.assertEqual(await self.doubts.get(), ("b", True))
+            self.assertFalse(stuck.done())
+            await self.assert_kind(ErrorKind.LINK_LOST, stuck)
+            self.assertEqual(await self.doubts.get(), ("b", False))
+
+    async def test_a_peer_that_answers_heartbeats_is_not_doubted(self):
+        stuck = asyncio.create_task(self.a.call(self.peer, make_call("/stuck")))
+        pongs = asyncio.Queue()
+        async with asyncio.timeout(BOUND):
+            await self.started_calls.get()
+            link = self.a.live_link("b")
+            receive = link.receivers["pong"]
+            link.receivers["pong"] = lambda stamp: (receive(stamp), pongs.put_nowait(1))
+            for _ in range(4):
+                await pongs.get()
+        self.assertTrue(self.doubts.empty())
+        stuck.cancel()
+
+
 class SilenceWatchTests(TestCase):
     def test_own_pause_keeps_links(self):
         """A paused daemon does not cut its healthy links.
--- a/tests/unit/daemon/test_routing_table.py
+++ b/tests/unit/daemon/test_routing_table.py
@@ -118,6 +118,13 @@
 
 
 class ChoiceTests(RoutingCase):
+    def test_no_call_follows_others_over_a_link_in_doubt(self):
+        self.spread()
+        self.table.note_doubt("u1", True)
+        self.assertNotIn("u1", self.spread())
+        self.table.note_doubt("u1", False)
+        self.assertIn("u1", self.spread())
+
     def test_excluded_and_none_left(self):
         names = {upstream.name for upstream in self.upstreams}
         chosen = self.table.choose(call(), names - {"u2"})
