End the watch of the target's lease when it is told to

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that comes together with its event: a daemon whose target announced itself, or went, in the turn of the loop in which it was ended waited for this part for ever.

Change: asyncio.timeout, and the wait for the supervisor is within the time that closing may take.

Measured: a unit test that failed before.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
@@ -51,9 +51,7 @@
             await daemon.close()
             return report_failure(supervision)
         await self.drain()
-        supervision.cancel()
-        await asyncio.gather(supervision, return_exceptions=True)
-        await self.close_soon()
+        await self.close_soon(supervision)
         return 0
 
     async def start(self):
@@ -135,8 +133,8 @@
         await asyncio.sleep(limits.leaving_grace_ms / 1000)
         daemon.flow.refusing = True
 
-    async def close_soon(self):
-        """Close every part, as far as that takes no longer than it may.
+    async def close_soon(self, supervision):
+        """End and close all parts, if that takes no longer than it may.
 
         Parts that are still busy each wait a little for what they cancel.
         Together that can last until the process is killed, which its platform
@@ -144,6 +142,8 @@
         """
         try:
             async with asyncio.timeout(CLOSE_SECONDS):
+                supervision.cancel()
+                await asyncio.gather(supervision, return_exceptions=True)
                 await self.daemon.close()
         except TimeoutError:
             log.warning("parts were still busy after {} s", CLOSE_SECONDS)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -163,7 +163,10 @@
             pause = None
             if self.current is not None:
                 pause = max(self.lease_until - self.clock(), 0.0)
+            # Not by `asyncio.wait_for`: in Python 3.11 it drops a cancellation
+            # that comes together with the event, and the daemon never ends.
             try:
-                await asyncio.wait_for(self.changed.wait(), pause)
+                async with asyncio.timeout(pause):
+                    await self.changed.wait()
             except TimeoutError:
                 continue
--- a/tests/unit/daemon/test_target_registry.py
+++ b/tests/unit/daemon/test_target_registry.py
@@ -106,6 +106,23 @@
 
 
 class WatchTests(unittest.IsolatedAsyncioTestCase):
+    async def test_an_end_that_comes_with_an_announcement_ends_the_watch(self):
+        """A daemon that was told to stop was still there after its grace time.
+
+        Its last target is withdrawn in the very turn of the event loop in
+        which all parts are ended; the part that watches the lease took the
+        news and missed the end.
+        """
+        registry = TargetRegistry()
+        registry.announce(announcement())
+        watching = asyncio.create_task(registry.watch())
+        for _ in range(3):
+            await asyncio.sleep(0)
+        registry.announce(announcement(slots=9))
+        watching.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await asyncio.wait_for(watching, 1)
+
     async def test_lease_end_is_noticed_without_calls(self):
         registry = TargetRegistry()
         gone = asyncio.Event()
