--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
@@ -16,7 +16,6 @@
 """What a door waits for at its end; nothing runs any more after a drain."""
 LINGER_SECONDS = 2.0
 BACKLOG = 1024
-MAX_CONNECTIONS = 16_384
 
 
 class DoorProtocol(web.RequestHandler):
@@ -45,14 +44,15 @@
     Parameters
     ----------
     handler : callable
-    dialect : CallerDialect
+    door : Door
     options : dict
         As `aiohttp.web.Server` takes them.
     """
 
-    def __init__(self, handler, dialect, **options):
+    def __init__(self, handler, door, **options):
         super().__init__(handler, **options)
-        self.dialect = dialect
+        self.dialect = door.dialect
+        self.most = door.limits.connections
 
     def connection_made(self, handler, transport):
         """Take a connection, or break it when too many are open.
@@ -62,7 +62,7 @@
         service.
         """
         super().connection_made(handler, transport)
-        if len(self._connections) > MAX_CONNECTIONS:
+        if len(self._connections) > self.most:
             transport.abort()
 
     def __call__(self):
@@ -97,7 +97,7 @@
         """Listen; `port` is the real one afterwards."""
         server = DoorServer(
             self.handle,
-            self.dialect,
+            self,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- a/tests/unit/platform/test_boot_settings.py
+++ b/tests/unit/platform/test_boot_settings.py
@@ -46,6 +46,11 @@
         self.assertEqual(len(ports), 3)
         self.assertTrue(ports <= set(range(7620, 7636)))
 
+    def test_clients_leave_descriptors_to_links_and_upstream(self):
+        few = BOOT.replace("memoryMb = 300", "maxFds = 1200")
+        self.assertEqual(self.load(few).daemon_settings().limits.connections, 500)
+        self.assertLess(self.load(BOOT).daemon_settings().limits.connections, 4_096)
+
     def test_strange_fields_are_not_looked_at(self):
         self.load(BOOT + "\n[later]\nfield = 1\n")
 
