Log why an attempt is the last one, also for the route's bound

Cause: where the route's bound on attempts ended a call, no line said so.

Change: each end of an attempt that failed has its line, in the words of the others.

Measured: unit and functional tests.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -6,6 +6,7 @@
 from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
+from papayabay_daemon._internal.decision_log import outcome_of
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
 
 ANSWER_GRACE_SECONDS = 0.02
@@ -54,22 +55,26 @@
             tried.add(member.name)
             doubts += answer.effect is not Effect.NOT_RUN
             if call.attempts and doubts >= call.attempts:
+                self.note_end(call, answer, "attempts")
                 return answer
             pause = self.retries.pause_before_retry(
                 call, answer, attempts, account, tried
             )
-            if answer.kind is not None:
-                reason = self.retries.latest_stop if pause is None else "again"
-                self.parts.log.note(
-                    "retry", call.request_id, outcome=reason, after=answer.kind.name
-                )
             if pause is None:
+                self.note_end(call, answer, self.retries.latest_stop)
                 return whole_truth(answer, doubtful)
+            self.note_end(call, answer, "again")
             if answer.effect is not Effect.NOT_RUN:
                 doubtful = answer
             self.parts.counters.retries += 1
             await asyncio.sleep(pause)
 
+    def note_end(self, call, answer, reason):
+        """Log what follows a failed attempt, and why."""
+        if answer.kind is not None or reason == "again":
+            after = outcome_of(answer)
+            self.parts.log.note("retry", call.request_id, outcome=reason, after=after)
+
     def no_more_upstreams(self, call, error, answer):
         """Return the last attempt's answer, or the router's refusal."""
         if answer is not None:
