--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -31,6 +31,7 @@
         "ranked"
     )
     shared_rank: bool = True
+    kept_share: Share = 0.0
     upstream_refusal: bool = True
     retries: Literal["credits", "per-hop"] = "credits"
     per_hop_retries: Annotated[int, Field(ge=0, le=10)] = 3
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -14,7 +14,7 @@
     error_answer,
 )
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
-from papayabay_daemon._internal.lifetime.ranks import rank_of
+from papayabay_daemon._internal.lifetime.ranks import rank_of, standing_of
 from papayabay_daemon._internal.retries import CreditAccount
 
 SERVER_ERROR = 500
@@ -208,9 +208,12 @@
 
         The class comes from policy alone: a caller's header can't raise it.
         """
+        decisions = self.parts.policy().decisions
         life = entry_deadline(rule, incoming.deadline_ms)
-        if not self.parts.policy().decisions.deadlines:
+        if not decisions.deadlines:
             life = UNLIMITED_SECONDS
+        rank = rank_of(incoming.idempotency_key or request_id)
+        importance, rank = standing_of(rule.importance, rank, decisions.kept_share)
         return Call(
             request_id=request_id,
             service=incoming.service,
@@ -218,8 +221,8 @@
             path=incoming.path,
             headers=incoming.headers,
             body=incoming.body,
-            importance=rule.importance,
-            rank=rank_of(incoming.idempotency_key or request_id),
+            importance=importance,
+            rank=rank,
             depth=0,
             expires_at=now() + life,
             credits=rule.retry_credits,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from papayabay_core.importance import RANK_BITS, RANKS
+from papayabay_core.importance import RANK_BITS, RANKS, Importance
 
 HASH_BITS = 64
 
@@ -17,6 +17,28 @@
     return digest >> (HASH_BITS - RANK_BITS)
 
 
+def standing_of(importance, rank, kept_share):
+    """Return class and rank by which a request stands in all lines.
+
+    In an overload that only critical requests can fill, all others would be
+    refused, hour after hour, whoever they are from. So the best ranks of
+    every class stand with the critical ones, spread over all their ranks;
+    as the rank is the same at every hop, they are let in whole.
+
+    Parameters
+    ----------
+    importance : Importance
+        By policy.
+    rank : int
+    kept_share : float
+        Part of the requests that is kept in this way.
+    """
+    kept_ranks = kept_share * RANKS
+    if importance is Importance.CRITICAL or rank >= kept_ranks:
+        return importance, rank
+    return Importance.CRITICAL, int(rank / kept_share)
+
+
 def per_hop_rank(random):
     """Return a fresh rank; the baseline in which hops refuse alone."""
     return int(random.random() * RANKS)
