--- a/packages/papayabay-core/src/papayabay_core/settings.py
+++ b/packages/papayabay-core/src/papayabay_core/settings.py
@@ -91,10 +91,18 @@
 
 
 class LogSettings(Strict):
-    """Form and level of the log."""
+    """Form, level and place of the log.
+
+    Attributes
+    ----------
+    decisions : bool
+        Whether each decision on a request gets a line.
+    """
 
     format: Literal["human", "json"] = "human"
     level: Literal["DEBUG", "INFO", "NOTICE", "WARNING", "ERROR"] = "INFO"
+    output: Literal["stderr", "stdout"] = "stderr"
+    decisions: bool = False
 
 
 class StatsdSettings(Strict):
@@ -106,6 +114,14 @@
     period_ms: Milliseconds = 10_000
 
 
+class MetricsSettings(Strict):
+    """Where metrics can be fetched; nowhere without a host."""
+
+    host: MemberHost | None = None
+    port: Port = 9_464
+    path: Annotated[str, Field(pattern=r"^/[\x21-\x7e]*$")] = "/metrics"
+
+
 class LimitSettings(Strict):
     """Bounds on what is accepted."""
 
@@ -144,6 +160,7 @@
     loopback: LoopbackSettings = LoopbackSettings()
     logs: LogSettings = LogSettings()
     statsd: StatsdSettings = StatsdSettings()
+    metrics: MetricsSettings = MetricsSettings()
     limits: LimitSettings = LimitSettings()
     timing: TimingSettings = TimingSettings()
     calls: CallSettings = CallSettings()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -49,11 +49,16 @@
                 answer = self.no_more_upstreams(call, error, answer)
                 return whole_truth(answer, doubtful)
             attempts += 1
-            answer = await self.attempt(member, call, account)
+            answer = await self.attempt(member, call, account, attempts)
             tried.add(member.name)
             pause = self.retries.pause_before_retry(
                 call, answer, attempts, account, tried
             )
+            if answer.kind is not None:
+                reason = self.retries.latest_stop if pause is None else "again"
+                self.parts.log.note(
+                    "retry", call.request_id, outcome=reason, after=answer.kind.name
+                )
             if pause is None:
                 return whole_truth(answer, doubtful)
             if answer.effect is not Effect.NOT_RUN:
@@ -70,11 +75,12 @@
         refused.exhausted = True
         return refused
 
-    async def attempt(self, member, call, account):
+    async def attempt(self, member, call, account, number):
         """Send one attempt and settle its credits and the router's books."""
         granted = account.split()
         attempt = replace(call, credits=granted)
         self.parts.counters.attempts += 1
+        known = self.parts.router.explain(member, call)
         self.parts.router.started(member, call)
         started = now()
         answer = None
@@ -83,7 +89,10 @@
         except CallError as error:
             answer = error_answer(error, call.request_id)
         finally:
-            self.parts.router.ended(member, call, answer, now() - started)
+            elapsed = now() - started
+            self.parts.router.ended(member, call, answer, elapsed)
+            self.parts.latencies.attempt_ended(call.path_key, answer, elapsed)
+            self.parts.log.attempt(call, number, known, answer, elapsed)
         account.give_back(min(answer.credits_left, granted))
         return answer
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -81,7 +81,18 @@
             raise
         finally:
             self.end()
-        self.count(rule, answer, now() - started)
+        elapsed = now() - started
+        self.count(rule, answer, elapsed)
+        if answer.kind is not None:
+            self.parts.log.ended(
+                request_id,
+                answer,
+                method=incoming.method,
+                service=incoming.service,
+                path=rule.path_key if rule else incoming.path,
+                parent=incoming.call_token,
+                took_ms=round(elapsed * 1_000, 1),
+            )
         if not incoming.request_id:
             answer.headers = [*answer.headers, (REQUEST_HEADER, request_id)]
         return answer
@@ -222,6 +233,7 @@
         answered = self.parts.counters.answered
         answered[name] = answered.get(name, 0) + 1
         if rule is not None:
+            self.parts.latencies.request_ended(rule.path_key, answer, elapsed)
             self.objectives.note(rule, answer, elapsed)
 
     async def call_out(self, incoming):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/parts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/parts.py
@@ -6,6 +6,7 @@
 
 from papayabay_core.policy import Policy
 from papayabay_core.settings import DaemonSettings
+from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.interfaces import (
     Admission,
     Links,
@@ -14,6 +15,7 @@
     Router,
     TargetClient,
 )
+from papayabay_daemon._internal.metrics.exposition import Latencies
 from papayabay_daemon._internal.target.registry import TargetRegistry
 
 
@@ -63,4 +65,6 @@
     target: TargetClient
     registry: TargetRegistry
     random: random.Random
+    latencies: Latencies = field(default_factory=Latencies)
+    log: DecisionLog = field(default_factory=DecisionLog)
     counters: CallCounters = field(default_factory=CallCounters)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -42,6 +42,18 @@
             ticket = await self.parts.admission.admit(call)
         except CallError as error:
             load = self.parts.admission.load(call.path_key)
+            self.parts.log.note(
+                "admission",
+                call.request_id,
+                outcome=error.kind.name.lower(),
+                level=call.level,
+                left_ms=round(call.remaining() * 1_000),
+                in_flight=load.in_flight,
+                queued=load.queued,
+                limit=load.limit,
+                admits=load.admit_level,
+                retry_after_ms=error.retry_after_ms,
+            )
             return error_answer(error, call.request_id, call.credits, load)
         return await self.hand_over(call, ticket)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
@@ -114,9 +114,13 @@
         await self.site.start()
         self.port = self.runner.addresses[0][1]
 
+    def end_connections(self):
+        """End each connection after its next answer."""
+        self.stopping = True
+
     async def stop_accepting(self):
         """Take no new connections; open ones end after their next answer."""
-        self.stopping = True
+        self.end_connections()
         if self.site is not None:
             site, self.site = self.site, None
             await site.stop()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -144,6 +144,9 @@
     def path_level(self, service: str, path_key: str) -> int:
         """Return the level that a service as a whole is believed to admit."""
 
+    def explain(self, member: Member, call: Call) -> dict:
+        """Return what is known of an upstream, for the log."""
+
     def started(self, member: Member, call: Call) -> None:
         """Note that an attempt was sent."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifecycle.py
@@ -112,12 +112,16 @@
 
         Whoever finds out by asking whether this daemon is ready needs time
         for it, and connects meanwhile; a closed port would fail requests
-        that could still be served.
+        that could still be served. Where the target's own calls come by the
+        same door, it stays open for them to the end.
         """
+        daemon = self.daemon
         await asyncio.sleep(limits.leaving_accept_ms / 1000)
-        await self.daemon.caller_door.stop_accepting()
+        daemon.caller_door.end_connections()
+        if not daemon.settings.calls.infer_parents:
+            await daemon.caller_door.stop_accepting()
         await asyncio.sleep(limits.leaving_grace_ms / 1000)
-        self.daemon.flow.refusing = True
+        daemon.flow.refusing = True
 
     async def close(self):
         """Close every part."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/logs.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/logs.py
@@ -1,10 +1,12 @@
-"""Where log records go: human lines or JSON lines on standard error."""
+"""Where log records go: human lines or JSON lines, never waited for."""
 
 import json
 import sys
 
 import logbook
 
+from papayabay_daemon._internal.log_lines import LineWriter
+
 HUMAN_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
     "{record.channel}: {record.message}"
@@ -24,17 +26,43 @@
     return json.dumps(line)
 
 
+class LineHandler(logbook.Handler, logbook.StringFormatterHandlerMixin):
+    """Passes formatted records to a `LineWriter`.
+
+    Parameters
+    ----------
+    writer : LineWriter
+    level : str
+    """
+
+    def __init__(self, writer, level):
+        logbook.Handler.__init__(self, level)
+        logbook.StringFormatterHandlerMixin.__init__(self, None)
+        self.writer = writer
+
+    def emit(self, record):
+        """Write one record."""
+        self.writer.write(self.format(record))
+
+
 def set_up_logs(settings):
-    """Send log records to standard error in the form that settings name.
+    """Send log records where and in the form that settings name.
 
     Parameters
     ----------
     settings : LogSettings
+
+    Returns
+    -------
+    LineWriter
     """
     logbook.set_datetime_format("utc")
-    handler = logbook.StreamHandler(sys.stderr, level=settings.level)
+    stream = sys.stdout if settings.output == "stdout" else sys.stderr
+    writer = LineWriter(stream.fileno())
+    handler = LineHandler(writer, settings.level)
     if settings.format == "json":
         handler.formatter = json_line
     else:
         handler.format_string = HUMAN_FORMAT
     handler.push_application()
+    return writer
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -30,6 +30,7 @@
         self.random = random
         self.has_other = has_other
         self.stops = Counter()
+        self.latest_stop = ""
 
     def first_attempt(self, call):
         """Note the first attempt of a call; it earns toward the ratio."""
@@ -65,6 +66,7 @@
         if not reason:
             return self.pause(call, attempts)
         self.stops[reason] += 1
+        self.latest_stop = reason
         answer.exhausted = is_exhausted(answer, attempts)
         return None
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -188,6 +188,22 @@
         ]
         return sum(levels) // len(levels) if levels else ADMIT_ALL
 
+    def explain(self, member, call):
+        """Return what is known of a chosen upstream, as plain values."""
+        pool = self.pools.get(call.service)
+        known = pool.states.get(member.name) if pool is not None else None
+        if known is None:
+            return {"name": member.name}
+        at = self.clock()
+        return {
+            "name": member.name,
+            "incarnation": member.incarnation,
+            "in_flight": known.in_flight,
+            "admits": known.hints.level(call.path_key, at),
+            "heard_ms": round((at - known.heard_at) * 1_000) if known.load else None,
+            "points": known.ejection.points,
+        }
+
     def status(self):
         """Return the state for the status page, as plain values."""
         at = self.clock()
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -11,12 +11,18 @@
 from papayabay_daemon._internal.calls.receive import Receiver
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.configuration import ConfigurationKeeper
+from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.doors import CallerDoor, StatusDoor
 from papayabay_daemon._internal.idempotency import IdempotencyGate
 from papayabay_daemon._internal.lifecycle import Lifecycle
 from papayabay_daemon._internal.links import PeerLinks
 from papayabay_daemon._internal.membership import Membership
 from papayabay_daemon._internal.membership.deaths import DeathLog
+from papayabay_daemon._internal.metrics.exposition import (
+    CounterCollector,
+    Latencies,
+    MetricsDoor,
+)
 from papayabay_daemon._internal.metrics.objectives import ObjectiveCounters
 from papayabay_daemon._internal.metrics.sender import MetricsSender
 from papayabay_daemon._internal.retries import KeyAccounts, RetryRatio, RetryRules
@@ -36,9 +42,12 @@
     settings : DaemonSettings
     environment : Environment or None
         None for that of the settings.
+    writer : LineWriter or None
+        Takes the lines on decisions, if settings want them.
     """
 
-    def __init__(self, settings, environment=None):
+    def __init__(self, settings, environment=None, writer=None):
+        self.writer = writer if settings.logs.decisions else None
         self.settings = settings
         self.environment = environment or own_environment(settings)
         self.random = random.Random()
@@ -97,6 +106,8 @@
             target=self.target,
             registry=self.registry,
             random=self.random,
+            latencies=Latencies(),
+            log=DecisionLog(self.writer, lambda: self.policy().version),
             counters=CallCounters(),
         )
         self.tree = CallTree()
@@ -134,6 +145,10 @@
             settings, self.flow, self.gate.mint, self.environment.caller_dialect
         )
         self.listeners = self.environment.listeners(self)
+        registry = self.parts.latencies.registry
+        registry.register(CounterCollector(self.metrics.totals))
+        if settings.metrics.host is not None:
+            self.listeners.append(MetricsDoor(settings, registry))
         routes = StatusRoutes(self)
         self.status_door = StatusDoor(settings, routes.reads(), routes.writes())
 
@@ -146,15 +161,15 @@
                 Child("configuration", self.keeper.run),
             ],
         )
-        self.supervisor = Supervisor(
-            "daemon",
-            [
-                Child("control", self.control.run),
-                Child("target lease", self.registry.watch),
-                Child("metrics", self.metrics.run),
-                Child("pause watch", self.pause.run),
-            ],
-        )
+        children = [
+            Child("control", self.control.run),
+            Child("target lease", self.registry.watch),
+            Child("metrics", self.metrics.run),
+            Child("pause watch", self.pause.run),
+        ]
+        if self.writer is not None:
+            children.append(Child("log", self.writer.run))
+        self.supervisor = Supervisor("daemon", children)
 
     def policy(self):
         """Return the policy in force."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/main.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/main.py
@@ -55,11 +55,11 @@
     from papayabay_daemon._internal.logs import set_up_logs
     from papayabay_daemon.daemon import Daemon
 
-    set_up_logs(settings.logs)
+    writer = set_up_logs(settings.logs)
 
     async def run_daemon():
         environment = make_environment(settings) if make_environment else None
-        return await Daemon(settings, environment).run()
+        return await Daemon(settings, environment, writer).run()
 
     return uvloop.run(run_daemon())
 
--- /dev/null
+++ b/tests/unit/daemon/test_metrics_exposition.py
@@ -0,0 +1,47 @@
+import unittest
+
+from papayabay_core.calls import Answer
+from papayabay_core.errors import ErrorKind
+from papayabay_core.settings import MetricsSettings
+from papayabay_daemon._internal.metrics.exposition import (
+    MOST_SERIES,
+    CounterCollector,
+    Latencies,
+    MetricsDoor,
+)
+from tests.unit.daemon.door_fakes import exchange, parse, request, settings
+
+
+class ExpositionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.latencies = Latencies()
+        registry = self.latencies.registry
+        registry.register(CounterCollector(lambda: {"calls.entered": 3}))
+        metrics = MetricsSettings(host="127.0.0.1", port=0, path="/own")
+        changed = settings().model_copy(update={"metrics": metrics})
+        self.door = MetricsDoor(changed, registry)
+        await self.door.start()
+        self.addAsyncCleanup(self.door.close)
+
+    async def fetch(self, path="/own"):
+        status, _, body = parse(await exchange(self.door.port, request(path)))
+        return status, body.decode()
+
+    async def test_counters_and_histograms(self):
+        self.latencies.request_ended("svc/read", Answer(200), 0.3)
+        refused = Answer(503, kind=ErrorKind.OVERLOADED)
+        self.latencies.request_ended("svc/read", refused, 0.001)
+        status, text = await self.fetch()
+        self.assertEqual(status, 200)
+        self.assertIn("papayabay_calls_entered_total 3.0", text)
+        series = 'papayabay_request_seconds_bucket{le="0.4",outcome="answered"'
+        self.assertIn(f'{series},path="svc/read"}} 1.0', text)
+        self.assertIn('outcome="overloaded"', text)
+
+    async def test_another_path_holds_nothing(self):
+        self.assertEqual((await self.fetch("/else"))[0], 404)
+
+    async def test_series_are_bounded(self):
+        for number in range(MOST_SERIES + 5):
+            self.latencies.request_ended(f"svc/{number}", Answer(200), 0.1)
+        self.assertEqual(self.latencies.left_out, 5)
--- a/tests/unit/daemon/test_target_registry.py
+++ b/tests/unit/daemon/test_target_registry.py
@@ -65,6 +65,37 @@
             self.registry.connect_failed(current)
         self.assertIsNone(self.registry.current)
 
+    def test_overtaken_announcements_change_nothing(self):
+        """A draining target got new work again.
+
+        One of its announcements, sent before it drained, was held up on its
+        way and came after the one that told of draining.
+        """
+        self.registry.announce(announcement(sequence=1))
+        self.registry.announce(announcement(sequence=3, draining=True))
+        self.assertFalse(self.registry.announce(announcement(sequence=2)))
+        self.assertTrue(self.registry.current.draining)
+
+    def test_a_late_announcement_of_a_former_process_changes_nothing(self):
+        """Calls went to a process that had ended.
+
+        Its last announcement arrives after its successor's first at the same
+        address, and after it has said that it is gone.
+        """
+        self.registry.announce(announcement(sequence=4, incarnation="a"))
+        self.registry.gone("a")
+        self.assertTrue(self.registry.current.draining)
+        self.registry.announce(announcement(sequence=1, incarnation="b"))
+        self.registry.announce(announcement(sequence=5, incarnation="a"))
+        self.assertEqual(self.registry.current.incarnation, "b")
+        self.assertFalse(self.registry.current.draining)
+
+    def test_repetitions_that_only_count_on_are_no_change(self):
+        self.registry.announce(announcement(sequence=1, cold_start_ms=900))
+        self.registry.announce(announcement(sequence=2, cold_start_ms=500))
+        self.assertEqual(len(self.seen), 1)
+        self.assertEqual(self.registry.current.cold_start_ms, 900)
+
     def test_failures_of_an_older_incarnation_do_not_count(self):
         self.registry.announce(announcement())
         older = self.registry.current
--- /dev/null
+++ b/tests/unit/platform/test_heartbeat_door.py
@@ -0,0 +1,104 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+from papayabay_daemon._internal.target import TargetRegistry
+from papayabay_platform.heartbeats import HeartbeatDoor
+from papayabay_platform.readiness import ReadinessDoor
+from papayabay_platform.settings import load_boot
+from tests.unit.daemon.door_fakes import exchange, parse, request, settings
+from tests.unit.platform.boot_support import BOOT
+
+
+def local_boot():
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.toml"
+        path.write_text(BOOT.replace("10.1.0.8", "127.0.0.1"))
+        return load_boot(path)
+
+
+def heartbeat(sequence=1, state="ready", **changes):
+    return {
+        "address": "127.0.0.1:8301",
+        "info": {"service": "svc-a", "version": "v1", "zone": "z", "slots": 36},
+        "status": {"state": state, "seqNo": sequence, "warmupLeft": "0ms"},
+    } | changes
+
+
+class DoorTestCase(unittest.IsolatedAsyncioTestCase):
+    door_class = HeartbeatDoor
+
+    async def asyncSetUp(self):
+        self.registry = TargetRegistry()
+        self.ready = True
+        daemon = SimpleNamespace(
+            settings=settings(),
+            registry=self.registry,
+            is_ready=lambda: self.ready,
+        )
+        self.door = self.door_class(local_boot(), daemon)
+        self.door.port = 0
+        await self.door.start()
+        self.addAsyncCleanup(self.door.close)
+
+    async def ask(self, raw):
+        status, _, body = parse(await exchange(self.door.port, raw))
+        return status, body
+
+    async def post(self, path, values):
+        content = json.dumps(values).encode()
+        return await self.ask(request(path, "POST", body=content))
+
+
+class HeartbeatTest(DoorTestCase):
+    async def beat(self, instance, *args, **changes):
+        path = f"/Instances.Heartbeat/{instance}"
+        status, _ = await self.post(path, heartbeat(*args, **changes))
+        return status
+
+    async def test_a_heartbeat_announces(self):
+        self.assertEqual(await self.beat("i-1"), 200)
+        current = self.registry.current
+        self.assertEqual((current.service, current.slots), ("svc-a", 36))
+        self.assertEqual(current.incarnation, "i-1")
+
+    async def test_draining_is_acknowledged_and_a_late_one_does_not_undo_it(self):
+        """A leaving target got new work after it was told that it would not.
+
+        It reports draining; a heartbeat from before is held up on its way
+        and arrives after it, saying ready.
+        """
+        await self.beat("i-1", 1)
+        self.assertEqual(await self.beat("i-1", 3, "draining"), 200)
+        self.assertEqual(await self.beat("i-1", 2), 200)
+        self.assertTrue(self.registry.current.draining)
+
+    async def test_nothing_follows_a_deregistration(self):
+        await self.beat("i-1", 1)
+        status, _ = await self.post("/Instances.Deregister/i-1", {})
+        self.assertEqual(status, 200)
+        await self.beat("i-1", 2)
+        self.assertTrue(self.registry.current.draining)
+        await self.beat("i-2", 0)
+        self.assertFalse(self.registry.current.draining)
+
+    async def test_another_address_is_refused(self):
+        self.assertEqual(await self.beat("i-1", address="127.0.0.1:9"), 400)
+        self.assertIsNone(self.registry.current)
+
+    async def test_what_is_no_heartbeat_is_refused(self):
+        for values in ({}, [], heartbeat(state="odd"), heartbeat(address="nowhere")):
+            status, _ = await self.post("/Instances.Heartbeat/i-1", values)
+            self.assertEqual(status, 400)
+        self.assertIsNone(self.registry.current)
+
+
+class ReadinessTest(DoorTestCase):
+    door_class = ReadinessDoor
+
+    async def test_ready_and_not(self):
+        self.assertEqual((await self.ask(request("/ready")))[0], 200)
+        self.ready = False
+        self.assertEqual((await self.ask(request("/ready")))[0], 503)
--- /dev/null
+++ b/tests/unit/platform/test_target_dialect.py
@@ -0,0 +1,132 @@
+import unittest
+
+from papayabay_core.errors import CallError, ErrorKind
+from papayabay_daemon._internal.target import HttpTargetClient
+from papayabay_daemon.adapters import Announcement, Verdict
+from papayabay_platform.target_dialect import PlatformTargetDialect
+from tests.unit.daemon.door_fakes import call, settings
+from tests.unit.daemon.test_target_client import ClientTestCase
+
+ID = b"X-Papayabay-Request-Id"
+SIGNATURE = (b"X-Papayabay-Upstream-Signature", b"3e1b")
+OWN = (ID, b"r1")
+
+
+def announcement(**changes):
+    values = {"service": "svc", "host": "127.0.0.1", "port": 9, "slots": 4}
+    return Announcement(
+        **{**values, "connections": 8, "incarnation": "i-1", "lease_ms": 60_000}
+        | changes
+    )
+
+
+def response(status, *fields, body=b"ok"):
+    lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body)]
+    lines += [b"%s: %s" % field for field in fields]
+    return b"\r\n".join([*lines, b"", body])
+
+
+class JudgingTest(unittest.TestCase):
+    def judge(self, status, *fields):
+        made = call()
+        return PlatformTargetDialect().judge(made, announcement(), status, fields)
+
+    def test_verdicts(self):
+        not_run = (b"X-Papayabay-Not-Run", b"1")
+        coded = (b"Content-Encoding", b"gzip")
+        for status, fields, verdict in (
+            (200, (OWN, SIGNATURE), Verdict.ANSWER),
+            (200, (OWN,), Verdict.DOUBTFUL),
+            (200, (OWN, SIGNATURE, coded), Verdict.DOUBTFUL),
+            (200, (SIGNATURE,), Verdict.DOUBTFUL),
+            (500, (OWN, SIGNATURE), Verdict.ANSWER),
+            (503, (OWN,), Verdict.ANSWER),
+            (503, (not_run,), Verdict.SHED),
+            (429, (OWN, not_run), Verdict.SHED),
+            (421, (), Verdict.SHED),
+        ):
+            with self.subTest(status=status, fields=fields):
+                self.assertIs(self.judge(status, *fields), verdict)
+
+    def test_head_names_the_instance_and_the_time_left(self):
+        made = call()
+        made.headers = [("Host", "hulo.example")]
+        head = PlatformTargetDialect().request_head(made, "t", announcement())
+        lines = head.decode().split("\r\n")
+        self.assertEqual(lines[1], "Host: hulo.example")
+        self.assertIn("X-Papayabay-Expected-Instance: i-1", lines)
+        left = dict(line.split(": ") for line in lines[1:] if line)
+        self.assertLessEqual(
+            int(left["X-Papayabay-Deadline-Ms"]), made.remaining() * 1_000 + 1
+        )
+
+
+class ConnectionTest(ClientTestCase):
+    """The product's client with the platform's dialect, at a real socket."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.client.close()
+        self.client = HttpTargetClient(
+            settings(inline_body_bytes=1024), self.registry, PlatformTargetDialect()
+        )
+        self.addAsyncCleanup(self.client.close)
+
+    async def test_a_late_second_answer_is_skipped(self):
+        """A caller got the answer to another request.
+
+        The target answers request r0 a second time, when its connection
+        already serves r1. The second answer stands where the one to r1 is
+        expected; its echoed id tells it apart.
+        """
+
+        async def behave(reader, writer):
+            writer.write(response(200, (ID, b"r0"), SIGNATURE, body=b"stale"))
+            writer.write(response(200, OWN, SIGNATURE, body=b"own"))
+
+        await self.open(behave, incarnation="i-1")
+        answer = await self.run_call(call())
+        self.assertEqual(answer.body.first, b"own")
+
+    async def test_answers_to_others_only_leave_the_end_unknown(self):
+        async def behave(reader, writer):
+            for _ in range(8):
+                writer.write(response(200, (ID, b"r0"), SIGNATURE))
+
+        await self.open(behave, incarnation="i-1")
+        await self.fails(ErrorKind.TARGET_LOST, call())
+
+    async def test_bytes_on_an_idle_connection_end_it(self):
+        """A request that must run once was lost on a spoilt connection.
+
+        After a whole answer the target sends further bytes. The connection
+        lies idle then; were it used again, the bytes would be read as the
+        next answer, and what became of that request could not be told.
+        """
+        served = []
+
+        async def behave(reader, writer):
+            served.append(writer)
+            writer.write(response(200, OWN, SIGNATURE))
+            writer.write(response(200, (ID, b"r0"), SIGNATURE, body=b"stale"))
+
+        await self.open(behave, incarnation="i-1")
+        for _ in range(3):
+            answer = await self.run_call(call())
+            self.assertEqual(answer.body.first, b"ok")
+
+    async def test_an_unsigned_success_is_no_answer(self):
+        async def behave(reader, writer):
+            writer.write(response(200, OWN))
+
+        await self.open(behave, incarnation="i-1")
+        await self.fails(ErrorKind.TARGET_LOST, call())
+
+    async def test_another_process_at_the_address_has_not_run_it(self):
+        async def behave(reader, writer):
+            writer.write(response(421))
+
+        await self.open(behave, incarnation="i-1")
+        with self.assertRaises(CallError) as caught:
+            await self.run_call(call())
+        self.assertEqual(caught.exception.kind, ErrorKind.TARGET_SHED)
--- /dev/null
+++ b/tests/unit/platform/test_wire_names.py
@@ -0,0 +1,23 @@
+"""Nothing but the adapter knows the platform's names."""
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[3]
+WIRE = re.compile(
+    r"x-papayabay-|heartbeatAddr|weightedClusters|rows-(tx|get|feed|parts)|warmupLeft|"
+    r"appAddr|seqNo|targetLatency|Instances\.|PAPAYABAY_CONFIG|fleetbench|"
+    r"Baltkrasts platform",
+    re.IGNORECASE,
+)
+
+
+class NamesTest(unittest.TestCase):
+    def test_packages_know_no_name_of_the_wire(self):
+        found = [
+            f"{path.relative_to(ROOT)}: {match[0]}"
+            for path in sorted(ROOT.glob("packages/**/*.py"))
+            for match in WIRE.finditer(path.read_text())
+        ]
+        self.assertEqual(found, [])
