Return the retry's decision with its reason, and keep one look-up for caps

Change: RetryRules.decide takes Attempts and returns a RetryDecision with reason and pause, the bound of attempts among its objections; Answer.failed and one SERVER_ERROR; one capped look-up in RetryRatio. An answer that ends with the attempts used up is now marked exhausted as those of all other reasons are.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -92,6 +92,8 @@
         return self.expires_at - now()
 
 
+SERVER_ERROR = 500
+"""Lowest HTTP status that tells of a failure."""
 MOST_CLOSED = 16
 """Call paths that a `LoadState` names at most, the most refused first."""
 
@@ -162,3 +164,8 @@
     credits_left: int = 0
     load: LoadState | None = None
     exhausted: bool = False
+
+    @property
+    def failed(self):
+        """Whether its status tells of a failure, of whoever gave it."""
+        return self.status >= SERVER_ERROR
--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from papayabay_core.calls import SERVER_ERROR
 from papayabay_core.exceptions import PlatformAmbiguous, PlatformError
 
 CONNECTIONS = 32
@@ -12,7 +13,6 @@
 CHUNK_BYTES = 65_536
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 NOT_APPLIED = frozenset({429, 503})
-SERVER_ERROR = 500
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_PROBES = 2
 """A silent connection ends within 3 s: as long as a version may be missed
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -8,6 +8,7 @@
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.decision_log import outcome_of
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
+from papayabay_daemon._internal.retries import Attempts
 
 ANSWER_GRACE_SECONDS = 0.02
 """How long an ended call waits for the callee's own, more exact word."""
@@ -39,41 +40,33 @@
             Pays for retries, and for what each attempt's subtree may spend.
         """
         self.retries.first_attempt(call)
-        tried = set()
-        attempts = 0
-        doubts = 0
+        attempts = Attempts()
         answer = None
-        doubtful = None
         while True:
             try:
-                member = self.parts.router.choose(call, tried)
+                member = self.parts.router.choose(call, attempts.tried)
             except CallError as error:
                 answer = self.no_more_upstreams(call, error, answer)
-                return whole_truth(answer, doubtful)
-            attempts += 1
-            answer = await self.attempt(member, call, account, attempts)
-            tried.add(member.name)
-            doubts += answer.effect is not Effect.NOT_RUN
-            if call.attempts and doubts >= call.attempts:
-                self.note_end(call, answer, "attempts")
-                return answer
-            pause = self.retries.pause_before_retry(
-                call, answer, attempts, account, tried
-            )
-            if pause is None:
-                self.note_end(call, answer, self.retries.latest_stop)
-                return whole_truth(answer, doubtful)
-            self.note_end(call, answer, "again")
-            if answer.effect is not Effect.NOT_RUN:
-                doubtful = answer
+                return whole_truth(answer, attempts.doubtful)
+            answer = await self.attempt(member, call, account, attempts.made + 1)
+            attempts.ended(member.name, answer)
+            decision = self.retries.decide(call, answer, attempts, account)
+            self.note_end(call, answer, decision)
+            if not decision.again:
+                return whole_truth(answer, attempts.doubtful)
             self.parts.counters.retries += 1
-            await asyncio.sleep(pause)
+            await asyncio.sleep(decision.pause_s)
 
-    def note_end(self, call, answer, reason):
+    def note_end(self, call, answer, decision):
         """Log what follows a failed attempt, and why."""
-        if answer.kind is not None or reason == "again":
-            after = outcome_of(answer)
-            self.parts.log.note("retry", call.request_id, outcome=reason, after=after)
+        if answer.kind is None and not decision.again:
+            return
+        self.parts.log.note(
+            "retry",
+            call.request_id,
+            outcome=decision.reason,
+            after=outcome_of(answer),
+        )
 
     def no_more_upstreams(self, call, error, answer):
         """Return the last attempt's answer, or the router's refusal."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -17,7 +17,6 @@
 from papayabay_daemon._internal.lifetime.ranks import rank_of, standing_of
 from papayabay_daemon._internal.retries import CreditAccount
 
-SERVER_ERROR = 500
 UNLIMITED_SECONDS = 600.0
 """Life of a request where policy turns deadlines off."""
 
@@ -279,7 +278,7 @@
             self.tree.while_wanted(live, self.run(call, rule, live.account)),
             call.request_id,
         )
-        live.refused_below |= answer.status >= SERVER_ERROR
+        live.refused_below |= answer.failed
         return answer
 
     def child_call(self, incoming, rule, parent):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -4,8 +4,6 @@
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.lifetime.ranks import per_hop_rank
 
-SERVER_ERROR = 500
-
 
 class Receiver:
     """Takes calls for the target beside this daemon.
@@ -88,7 +86,7 @@
             )
         # A target that passes on what failed below it would fail elsewhere
         # too; no daemon above need try.
-        answer.exhausted |= live.refused_below and answer.status >= SERVER_ERROR
+        answer.exhausted |= live.refused_below and answer.failed
         answer.credits_left = live.account.close()
         answer.load = self.parts.admission.load(call.path_key)
         return answer
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/__init__.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/__init__.py
@@ -1,14 +1,22 @@
 """Who may repeat a call, and how often over the whole call tree."""
 
 from papayabay_daemon._internal.retries.credits import CreditAccount
-from papayabay_daemon._internal.retries.decision import RetryRules
+from papayabay_daemon._internal.retries.decision import (
+    AGAIN,
+    Attempts,
+    RetryDecision,
+    RetryRules,
+)
 from papayabay_daemon._internal.retries.ratio import RetryRatio
 from papayabay_daemon._internal.retries.repeats import KeyAccounts, RepeatDebit
 
 __all__ = [
+    "AGAIN",
+    "Attempts",
     "CreditAccount",
     "KeyAccounts",
     "RepeatDebit",
+    "RetryDecision",
     "RetryRatio",
     "RetryRules",
 ]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -1,14 +1,66 @@
 """Whether an attempt's end is followed by another attempt."""
 
 from collections import Counter
+from dataclasses import dataclass, field
 
+from papayabay_core.calls import Answer
 from papayabay_core.errors import ERROR_ANSWERS, Effect, ErrorKind
 
 FIRST_PAUSE_SECONDS = 0.010
 MAX_PAUSE_DOUBLINGS = 6
 LIFE_SHARE = 0.25
-SERVER_ERROR = 500
 EXPIRED_STATUS = 504
+AGAIN = "again"
+
+
+@dataclass(slots=True)
+class Attempts:
+    """What was tried for one call so far.
+
+    Attributes
+    ----------
+    made : int
+    tried : set of str
+        Upstreams that had an attempt.
+    handed_over : int
+        Attempts that a target may have begun to run.
+    doubtful : Answer or None
+        Of the latest of these.
+    """
+
+    made: int = 0
+    tried: set[str] = field(default_factory=set)
+    handed_over: int = 0
+    doubtful: Answer | None = None
+
+    def ended(self, name, answer):
+        """Note how an attempt at an upstream ended."""
+        self.made += 1
+        self.tried.add(name)
+        if answer.effect is not Effect.NOT_RUN:
+            self.handed_over += 1
+            self.doubtful = answer
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Whether another attempt follows.
+
+    Attributes
+    ----------
+    reason : str
+        Why none does; `AGAIN` if one does.
+    pause_s : float
+        Seconds to wait before it.
+    """
+
+    reason: str
+    pause_s: float = 0.0
+
+    @property
+    def again(self):
+        """Whether another attempt follows."""
+        return self.reason == AGAIN
 
 
 class RetryRules:
@@ -31,13 +83,12 @@
         self.random = random
         self.has_other = has_other
         self.stops = Counter()
-        self.latest_stop = ""
 
     def first_attempt(self, call):
         """Note the first attempt of a call; it earns toward the ratio."""
         self.ratio.first_attempt(call.service)
 
-    def pause_before_retry(self, call, answer, attempts, account, tried=()):
+    def decide(self, call, answer, attempts, account):
         """Decide whether another attempt follows, and pay for it.
 
         Parameters
@@ -47,29 +98,29 @@
             How the attempt ended; a `CallError` of the link is turned into
             an answer first. Its `exhausted` is set when it is to be passed
             on and no daemon above may repeat the call.
-        attempts : int
+        attempts : Attempts
             Made so far, this one too.
         account : CreditAccount
             Of the call at this daemon; one credit is spent on a retry.
-        tried : collection of str
-            Upstreams that had an attempt.
 
         Returns
         -------
-        float or None
-            Seconds to wait before the next attempt; None to stop.
+        RetryDecision
         """
         decisions = self.policy_source().decisions
-        if decisions.retries == "per-hop":
-            again = may_repeat_per_hop(call, answer, attempts, decisions)
-            return self.pause(call, attempts) if again else None
-        reason = self.objection(call, answer, account, tried)
+        if call.attempts and attempts.handed_over >= call.attempts:
+            reason = "attempts"
+        elif decisions.retries == "per-hop":
+            if may_repeat_per_hop(call, answer, attempts.made, decisions):
+                return RetryDecision(AGAIN, self.pause(call, attempts.made))
+            return RetryDecision("per-hop")
+        else:
+            reason = self.objection(call, answer, account, attempts.tried)
         if not reason:
-            return self.pause(call, attempts)
+            return RetryDecision(AGAIN, self.pause(call, attempts.made))
         self.stops[reason] += 1
-        self.latest_stop = reason
-        answer.exhausted = is_exhausted(answer, attempts)
-        return None
+        answer.exhausted = is_exhausted(answer, attempts.made)
+        return RetryDecision(reason)
 
     def objection(self, call, answer, account, tried):
         """Return why not to retry, or "" after paying for a retry."""
@@ -111,7 +162,7 @@
     """
     return (
         attempts <= decisions.per_hop_retries
-        and answer.status >= SERVER_ERROR
+        and answer.failed
         and answer.kind is not ErrorKind.EXPIRED
         and call.body.whole
         and call.remaining() > 0.0
@@ -127,7 +178,7 @@
     only come again, with all the work between.
     """
     expired = answer.status == EXPIRED_STATUS
-    return answer.status >= SERVER_ERROR and not (expired or answer.exhausted)
+    return answer.failed and not (expired or answer.exhausted)
 
 
 def is_unsafe(call, answer):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
@@ -78,13 +78,8 @@
         return allowed
 
     def window(self, service):
-        """Return the window of a service; the oldest goes beyond the cap."""
-        window = self.windows.get(service)
-        if window is None:
-            if len(self.windows) >= MAX_SERVICES:
-                del self.windows[next(iter(self.windows))]
-            window = self.windows[service] = RepeatWindow(self.clock)
-        return window
+        """Return the window of a service."""
+        return entry(self.windows, service, lambda: RepeatWindow(self.clock))
 
     def refill(self, bucket):
         """Add what time has earned, up to the floor."""
@@ -95,10 +90,15 @@
             bucket.tokens = min(FLOOR_TOKENS, bucket.tokens + earned)
 
     def bucket(self, service):
-        """Return the bucket of a service; the oldest goes beyond the cap."""
-        bucket = self.buckets.get(service)
-        if bucket is None:
-            if len(self.buckets) >= MAX_SERVICES:
-                del self.buckets[next(iter(self.buckets))]
-            bucket = self.buckets[service] = RetryBucket(self.clock())
-        return bucket
+        """Return the bucket of a service."""
+        return entry(self.buckets, service, lambda: RetryBucket(self.clock()))
+
+
+def entry(entries, service, make):
+    """Return the entry of a service, a new one if need be; the oldest goes."""
+    found = entries.get(service)
+    if found is None:
+        if len(entries) >= MAX_SERVICES:
+            del entries[next(iter(entries))]
+        found = entries[service] = make()
+    return found
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
@@ -11,7 +11,6 @@
 
 TYPICAL_WEIGHT = 0.05
 SERVICE_WEIGHT = 0.25
-SERVER_ERROR = 500
 
 
 class Pool:
@@ -139,7 +138,7 @@
         if ejection.out and not ejection.active(at):
             ejection.out = False
             self.ejections.returned.add(state.member.name)
-        failed = answer.status >= SERVER_ERROR
+        failed = answer.failed
         state.measure(elapsed, failed, at)
         if not failed:
             weight = TYPICAL_WEIGHT if self.typical else 1.0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
-from papayabay_core.calls import Call
+from papayabay_core.calls import SERVER_ERROR, Call
 from papayabay_core.settings import TargetSettings
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.target.announcement import Announcement
@@ -12,7 +12,6 @@
 EFFECT_FIELD = b"papayabay-effect"
 NOT_RUN = b"not-run"
 RETRY_AFTER_MS_FIELD = b"papayabay-retry-after-ms"
-SERVER_ERROR = 500
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout=([0-9]{1,6})")
 MAX_DIGITS = 8
 MAX_RETRY_AFTER_S = 3_600
--- a/packages/papayabay-daemon/src/papayabay_daemon/environment.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/environment.py
@@ -37,7 +37,7 @@
     Attributes
     ----------
     table : TableService
-        Keeps seeds, and claims of idempotency keys. It has a `close`.
+        Keeps seeds, and claims of idempotency keys; `close` closes it.
     versions : ConfigurationLog or VersionWatch
         Where versions of the configuration come from.
     version_reader : type
--- a/tests/unit/daemon/test_dispatch_doubt.py
+++ b/tests/unit/daemon/test_dispatch_doubt.py
@@ -12,7 +12,7 @@
 from papayabay_daemon._internal.calls.parts import CallCounters
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.metrics.exposition import Latencies
-from papayabay_daemon._internal.retries import CreditAccount
+from papayabay_daemon._internal.retries import AGAIN, CreditAccount, RetryDecision
 
 
 class ScriptedRouter:
@@ -50,16 +50,14 @@
 class RepeatAlways:
     """Retries at once while upstreams of the script are left."""
 
-    latest_stop = "script"
-
     def __init__(self, attempts):
         self.attempts = attempts
 
     def first_attempt(self, call):
         pass
 
-    def pause_before_retry(self, call, answer, attempts, account, tried):
-        return 0.0 if attempts < self.attempts else None
+    def decide(self, call, answer, attempts, account):
+        return RetryDecision(AGAIN if attempts.made < self.attempts else "script")
 
 
 def browse():
--- a/tests/unit/daemon/test_retries_rules.py
+++ b/tests/unit/daemon/test_retries_rules.py
@@ -10,6 +10,7 @@
 from papayabay_core.policy.document import validate_policy
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.retries import (
+    Attempts,
     CreditAccount,
     KeyAccounts,
     RepeatDebit,
@@ -201,10 +202,8 @@
         self.account = CreditAccount(2)
 
     def retried(self, answer, a_call=None, attempts=1):
-        pause = self.rules.pause_before_retry(
-            a_call or call(), answer, attempts, self.account
-        )
-        return pause is not None
+        made = Attempts(made=attempts)
+        return self.rules.decide(a_call or call(), answer, made, self.account).again
 
     def test_by_kind(self):
         for kind in ErrorKind:
