--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -48,6 +48,7 @@
     queue_target_ms: Milliseconds = 20
     queue_max_ms: Milliseconds = 150
     static_limit: Annotated[int, Field(ge=1, le=100_000)] | None = None
+    cold_share: Annotated[float, Field(gt=0.0, le=1.0)] = 0.1
     overload_hold_ms: Milliseconds = 200
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_limit.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_limit.py
@@ -2,7 +2,6 @@
 
 from papayabay_core.errors import ErrorKind
 
-COLD_SHARE = 0.1
 DECREASE = 0.7
 DECREASE_PERIOD_S = 0.05
 RECOVERY_S = 1.0
@@ -26,6 +25,7 @@
     def reconfigure(self, inputs):
         """Take over another announcement."""
         self.slots = max(1, inputs.slots)
+        self.cold_share = inputs.settings.cold_share
         self.announced_at = inputs.announced_at
         ramped = inputs.decisions.cold_start_ramp
         self.cold_start_s = inputs.cold_start_ms / 1_000 if ramped else 0.0
@@ -58,7 +58,7 @@
         if now >= self.warm_at:
             return 1.0
         done = max(0.0, now - self.announced_at) / self.cold_start_s
-        return COLD_SHARE + (1.0 - COLD_SHARE) * done
+        return self.cold_share + (1.0 - self.cold_share) * done
 
     def grown_share(self, now):
         if self.share < 1.0:
--- a/tests/unit/daemon/test_admission_control.py
+++ b/tests/unit/daemon/test_admission_control.py
@@ -83,6 +83,13 @@
             await asyncio.sleep(0.5)
         self.assertEqual(limits, [10, 55, 100])
 
+    @virtually
+    async def test_cold_share_is_a_setting(self, clock):
+        control = make_control(clock, slots=100, cold_start_ms=1_000, cold_share=0.5)
+        self.assertEqual(control.load("p").limit, 50)
+        await asyncio.sleep(0.5)
+        self.assertEqual(control.load("p").limit, 75)
+
     @virtually
     async def test_growing_limit_takes_from_the_line(self, clock):
         control = make_control(clock, slots=10, cold_start_ms=1_000)
