Let the upstream's stand-in reject, drop, garble, truncate and answer twice

Cause: the stand-in answered well or not at all; what else an upstream does was tried with raw sockets in unit tests only, never through two real daemons. Change: faults for its next requests, and three functional tests: a rejected request is told as not run with the time to come back; one whose answer is lost or can't be read is not; a second answer reaches no other request.

--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -55,7 +55,17 @@
             "priority": 1,
             "service": "svc-1",
             "attempts": 2,
-        }
+        },
+        {
+            "name": "write",
+            "host": "h.example",
+            "prefix": "/write/",
+            "kind": "unsafe",
+            "timeout": "5s",
+            "priority": 0,
+            "service": "svc-1",
+            "attempts": 1,
+        },
     ],
     "services": [
         {"name": name, "healthCheckPath": "/healthz"} for name in ("svc-0", "svc-1")
@@ -239,3 +249,36 @@
         self.vms[1].end()
         self.vms[1].start()
         await self.until(self.serves)
+
+    async def test_a_rejected_request_is_told_as_not_run(self):
+        upstream = self.vms[1].upstream
+        upstream.seen.clear()
+        upstream.faults = ["reject"]
+        status, fields, _ = await self.ask("/write/order")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(fields["Retry-After"]), 0)
+        self.assertEqual(upstream.seen, [])
+
+    async def test_a_request_whose_answer_is_lost_is_not_promised(self):
+        """A caller placed an order twice.
+
+        Sequence: the upstream runs the order, and its answer is lost or can't
+        be read; the caller is told that it has not run, and asks again. Cause:
+        a broken connection taken for a refusal.
+        """
+        upstream = self.vms[1].upstream
+        for fault in ("drop", "garble", "truncate"):
+            with self.subTest(fault=fault):
+                upstream.seen.clear()
+                upstream.faults = [fault]
+                status, _, _ = await self.ask("/write/order")
+                self.assertIn(status, {0, 502, 504})
+                self.assertEqual(len(upstream.seen), 1)
+
+    async def test_an_extra_answer_reaches_no_other_request(self):
+        upstream = self.vms[1].upstream
+        upstream.faults = ["extra"]
+        for number in range(4):
+            status, _, body = await self.ask(f"/read/{number}")
+            self.assertEqual(status, 200)
+            self.assertEqual(body, f"i-1 ran /read/{number}")
--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -19,6 +19,10 @@
         Heartbeats are sent while it is set.
     hold : asyncio.Event
         Requests wait for it before they are answered.
+    faults : list of str
+        What goes wrong with the next requests, one each: ``reject`` it before
+        it runs, run it and ``drop`` the connection, answer with ``garble``
+        that is no HTTP, ``truncate`` the body, send an ``extra`` answer.
     """
 
     def __init__(self, service, host, port, control_port, instance):
@@ -30,6 +34,7 @@
         self.state = "ready"
         self.sequence = 0
         self.seen = []
+        self.faults = []
         self.hold = asyncio.Event()
         self.hold.set()
         self.acknowledged = asyncio.Event()
@@ -55,15 +60,39 @@
             return self.health()
         if fields["x-papayabay-expected-instance"] != self.instance:
             return web.Response(status=421)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "reject":
+            return web.Response(status=503, headers={"X-Papayabay-Not-Run": "full"})
         self.seen.append((request.path_qs, fields))
         await self.hold.wait()
-        return web.Response(
-            text=f"{self.instance} ran {request.path_qs}",
-            headers={
-                "X-Papayabay-Request-Id": fields["x-papayabay-request-id"],
-                "X-Papayabay-Upstream-Signature": f"signed-{self.instance}",
-            },
+        text = f"{self.instance} ran {request.path_qs}"
+        headers = {
+            "X-Papayabay-Request-Id": fields["x-papayabay-request-id"],
+            "X-Papayabay-Upstream-Signature": f"signed-{self.instance}",
+        }
+        if fault:
+            return await self.spoil(request, fault, headers, text.encode())
+        return web.Response(text=text, headers=headers)
+
+    async def spoil(self, request, fault, headers, body):
+        """Answer with bytes that are not the whole and only answer."""
+        fields = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{fields}\r\n"
+        whole = head.encode() + body
+        transport = request.transport
+        transport.write(
+            {
+                "drop": b"",
+                "garble": b"\x16\x03\x01 this is no answer\r\n\r\n",
+                "truncate": whole[:-3],
+                "extra": whole + whole,
+            }[fault]
         )
+        # Sent before the connection ends: what is lost with a reset would be
+        # another fault.
+        await asyncio.sleep(0.05)
+        transport.close()
+        return web.Response()
 
     def health(self):
         return web.Response(
