--- a/tests/unit/daemon/test_admission_ranked.py
+++ b/tests/unit/daemon/test_admission_ranked.py
@@ -201,6 +201,8 @@
             order = start(control, make_call(clock, CRITICAL, life=9))
         self.assertEqual(look_up.result(), ErrorKind.OVERLOADED)
         self.assertLessEqual(clock() - asked_at, 0.2)
+        control.leave()
+        await settle()
 
     @virtually
     async def test_call_that_cannot_finish_is_refused_but_probed(self, clock):
