Teach the history checker what is asked, denied and begun for nobody

Change: rules asked, denied and gone, each with histories that break it and near misses. Histories in the checker's tests that had arrivals of attempts which nobody sent now hold their sending.

--- a/packages/papayabay-bench/src/papayabay_bench/history/limits.py
+++ b/packages/papayabay-bench/src/papayabay_bench/history/limits.py
@@ -18,6 +18,8 @@
         After leaving began, until no new work arrives.
     in_force_seconds : float
         After a patch was accepted, until it is in force everywhere.
+    gone_seconds : float
+        After a client left, until nothing more is begun for it.
     life_seconds : float
         Longest life of a request; policy's `deadline_ms`.
     life_slack_seconds : float
@@ -28,5 +30,6 @@
     hold_seconds: float = 0.4
     leaving_seconds: float = 2.0
     in_force_seconds: float = 6.0
+    gone_seconds: float = 0.5
     life_seconds: float = 1.0
     life_slack_seconds: float = 0.3
--- a/packages/papayabay-bench/src/papayabay_bench/history/rules/__init__.py
+++ b/packages/papayabay-bench/src/papayabay_bench/history/rules/__init__.py
@@ -2,10 +2,13 @@
 
 from papayabay_bench.history.rules import (
     answers,
+    asked,
     at_most_once,
     class_order,
     configuration,
+    denied,
     draining,
+    gone,
     leaving,
     lifetimes,
     not_run,
@@ -15,6 +18,7 @@
 
 RULES = {
     "answers": answers.violations,
+    "asked": asked.violations,
     "at-most-once": at_most_once.violations,
     "not-run": not_run.violations,
     "retries": retries.violations,
@@ -24,6 +28,8 @@
     "leaving": leaving.violations,
     "lifetimes": lifetimes.violations,
     "draining": draining.violations,
+    "denied": denied.violations,
+    "gone": gone.violations,
 }
 """Name of each rule and the generator function that finds violations."""
 
--- a/tests/unit/bench/test_history_rules.py
+++ b/tests/unit/bench/test_history_rules.py
@@ -29,13 +29,12 @@
     return Invocation(attempt, "r", key, entry, "orders", "POST", path, 0, at)
 
 
-def told(attempt, outcome="good", kind="", effect="run", at=1.0):
-    status = 200 if outcome == "good" else 503
+def told(attempt, outcome="good", kind="", effect="run", at=1.0, status=503):
+    status = 200 if outcome == "good" else status
     return Answered(attempt, outcome, status, kind, effect, at)
 
 
-def arrived(attempt, nonce="r", end="answered", at=0.5, target="t-0"):
-    path = "/orders/1"
+def arrived(attempt, nonce="r", end="answered", at=0.5, target="t-0", path="/orders/1"):
     return Arrival(target, "orders", attempt, nonce, path, end, 200, at, at + 0.1)
 
 
@@ -90,12 +89,16 @@
         ],
     },
     "retries": {
-        "at one hop": [arrived("a", at=n / 10) for n in range(4)],
+        "at one hop": [sent("a"), *(arrived("a", at=n / 10) for n in range(4))],
         "summed over two hops": [
+            sent("a"),
             *(arrived("a", nonce="r", at=n / 10) for n in range(2)),
             *(arrived("a", nonce="x.0", at=n / 10) for n in range(3)),
         ],
-        "shed attempts count": [arrived("a", end="shed", at=n / 10) for n in range(4)],
+        "shed attempts count": [
+            sent("a"),
+            *(arrived("a", end="shed", at=n / 10) for n in range(4)),
+        ],
     },
     "class-order": {
         "sheddable after critical": [
@@ -146,10 +149,12 @@
     "leaving": {
         "withdrawn target": [
             fault("leave", "t-0", "begin", 1.0),
+            sent("a", at=3.0),
             arrived("a", at=3.1),
         ],
         "drained daemon's target": [
             fault("drain", "t-0", "begin", 1.0),
+            sent("a", at=3.0),
             arrived("a", at=3.1),
         ],
     },
@@ -173,6 +178,23 @@
             told("a", "error", "link-lost", "unknown"),
         ],
     },
+    "asked": {
+        "by nobody": [arrived("a")],
+        "for something else": [sent("a"), arrived("a", path="/orders/2")],
+    },
+    "denied": {
+        "the service is there": [
+            sent("a"),
+            told("a", "error", "unknown-service", "not-run", status=404),
+        ],
+    },
+    "gone": {
+        "run for nobody": [
+            sent("a"),
+            told("a", "timed-out", effect="", at=0.2),
+            arrived("a", at=0.8),
+        ],
+    },
 }
 """Histories that break exactly one rule, by rule and what happens."""
 
@@ -204,8 +226,14 @@
         effect("a"),
         told("a", "error", "expired", "unknown"),
     ],
-    "as many retries as allowed": [arrived("a", at=n / 10) for n in range(3)],
-    "a call graph is no retry": [arrived("a", nonce=f"x.{n}") for n in range(9)],
+    "as many retries as allowed": [
+        sent("a"),
+        *(arrived("a", at=n / 10) for n in range(3)),
+    ],
+    "a call graph is no retry": [
+        sent("a"),
+        *(arrived("a", nonce=f"x.{n}") for n in range(9)),
+    ],
     "refused and admitted between the same samples": [
         sample(at=0.0),
         sample(refused=1, admitted=1, at=0.1),
@@ -249,11 +277,13 @@
     ],
     "work within two seconds of leaving": [
         fault("leave", "t-0", "begin", 1.0),
+        sent("a", at=2.8),
         arrived("a", at=2.9),
     ],
     "work after coming back": [
         fault("leave", "t-0", "begin", 1.0),
         fault("leave", "t-0", "end", 4.0),
+        sent("a", at=4.0),
         arrived("a", at=4.1),
     ],
     "unread at a paused entry": [
@@ -276,6 +306,23 @@
         sent("a", at=0.4),
         told("a", "error", "link-lost", "unknown"),
     ],
+    "run as the client left": [
+        sent("a"),
+        told("a", "timed-out", effect="", at=0.2),
+        arrived("a", at=0.6),
+    ],
+    "run for the key's next attempt": [
+        sent("a", key="k"),
+        told("a", "timed-out", effect="", at=0.2),
+        arrived("a", at=0.8),
+    ],
+    "told to come back, and that the body differs": [
+        sent("a"),
+        told("a", "error", "retries-spent", "not-run", status=429),
+        sent("b"),
+        told("b", "error", "key-conflict", "not-run", status=422),
+    ],
+    "denied by the target itself": [sent("a"), told("a", "error", status=404)],
 }
 """Near misses: histories that look alike and keep every rule."""
 
--- a/tests/unit/daemon/test_links_heartbeats.py
+++ b/tests/unit/daemon/test_links_heartbeats.py
@@ -18,7 +18,7 @@
     make_call,
     make_links,
 )
-from tests.unit.daemon.test_links_faults import Relay
+from tests.unit.daemon.test_links_silence import Relay
 
 PINGS = 3
 IDLE_FOR_SECONDS = 20.0
