--- a/tests/unit/daemon/door_fakes.py
+++ b/tests/unit/daemon/door_fakes.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import time
+import unittest
 
 from papayabay_core.calls import Answer, Body, Call
 from papayabay_core.importance import Importance
 from papayabay_core.settings import DaemonSettings
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.doors import CallerDoor
 
 BOUND_SECONDS = 10
 
@@ -135,3 +137,17 @@
 
     def __call__(self):
         return self.time
+
+
+class DoorTestCase(unittest.IsolatedAsyncioTestCase):
+    """Opens callers' doors, and asks at them."""
+
+    async def open(self, flow, key_minter=None, **limits):
+        door = CallerDoor(settings(**limits), flow, key_minter)
+        await door.start()
+        self.addAsyncCleanup(door.close)
+        return door
+
+    async def ask(self, flow, data, **limits):
+        door = await self.open(flow, **limits)
+        return parse(await exchange(door.port, data))
--- /dev/null
+++ b/tests/unit/daemon/test_doors_limits.py
@@ -0,0 +1,92 @@
+import asyncio
+import json
+
+from tests.unit.daemon.door_fakes import (
+    DoorTestCase,
+    FakeFlow,
+    bounded,
+    exchange,
+    parse,
+    request,
+)
+
+
+class LimitTests(DoorTestCase):
+    async def test_headers(self):
+        for headers in (
+            [("X-A", "a" * 5000)],
+            [(f"X-{n}", "a" * 80) for n in range(60)],
+        ):
+            status, _, body = await self.ask(
+                FakeFlow(), request(headers=headers), header_bytes=2048
+            )
+            self.assertEqual(status, 431)
+            self.assertIn(b"headers-too-large", body)
+
+    async def test_declared_length(self):
+        raw = request(method="POST", headers=[("Content-Length", "5000")])
+        door = await self.open(FakeFlow(), body_bytes=2048)
+        status, got, _ = parse(await exchange(door.port, raw, b"\r\n\r\n"))
+        self.assertEqual((status, dict(got)["Papayabay-Effect"]), (413, "not-run"))
+        self.assertEqual(dict(got)["Connection"], "close")
+
+    async def test_overrun_while_streaming_does_not_promise_not_run(self):
+        """A caller was told "not run" of a request that was begun.
+
+        A chunked body passes the limit after its first part was handed to
+        the target. The table's promise for 413 would be untrue then.
+        """
+
+        async def reply(incoming):
+            async for _ in incoming.body.rest:
+                pass
+
+        flow = FakeFlow(reply)
+        door = await self.open(flow, inline_body_bytes=1024, body_bytes=8192)
+        chunk = b"400\r\n" + b"a" * 1024 + b"\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+        self.addCleanup(writer.close)
+        headers = [("Transfer-Encoding", "chunked")]
+        writer.write(request(method="POST", headers=headers) + chunk * 2)
+        await bounded(flow.started.wait())
+        writer.write(chunk * 12 + b"0\r\n\r\n")
+        status, got, body = parse(await bounded(reader.read()))
+        self.assertEqual((status, dict(got)["Papayabay-Effect"]), (413, "unknown"))
+        self.assertEqual(json.loads(body)["effect"], "unknown")
+
+
+class SmugglingTests(DoorTestCase):
+    async def test_ambiguous_lengths_are_refused_and_the_connection_closed(self):
+        """A second request hid in the body of the first.
+
+        Two readers of one message take different ends of its body, so that
+        a part of it is run as a request of somebody else.
+        """
+        chunked = ("Transfer-Encoding", "chunked")
+        cases = {
+            "both": [("Content-Length", "5"), chunked],
+            "two lengths": [("Content-Length", "5"), ("Content-Length", "6")],
+            "sign": [("Content-Length", "+5")],
+            "unknown coding": [("Transfer-Encoding", "chunked, odd")],
+        }
+        hidden = b"0\r\n\r\n" + request("/hidden")
+        for name, headers in cases.items():
+            with self.subTest(name):
+                flow = FakeFlow()
+                raw = request(method="POST", headers=headers, close=False) + hidden
+                status, got, body = await self.ask(flow, raw)
+                self.assertEqual(status, 400)
+                self.assertIn(b"urn:papayabay:error:bad-request", body)
+                self.assertEqual(dict(got)["Connection"], "close")
+                self.assertEqual(flow.seen, [])
+                self.assertNotIn(b"HTTP/1.1", body)
+
+    async def test_bad_chunk(self):
+        flow = FakeFlow()
+        headers = [("Transfer-Encoding", "chunked")]
+        raw = request(method="POST", headers=headers, close=False)
+        raw += b"zz\r\n" + request("/hidden")
+        status, got, body = await self.ask(flow, raw)
+        self.assertEqual((status, dict(got)["Connection"]), (400, "close"))
+        self.assertEqual(flow.seen, [])
+        self.assertNotIn(b"HTTP/1.1", body)
--- a/tests/unit/daemon/test_links_calls.py
+++ b/tests/unit/daemon/test_links_calls.py
@@ -2,93 +2,16 @@
 
 import asyncio
 import random
-from unittest import IsolatedAsyncioTestCase
 
-from papayabay_core.calls import Answer, Body, Call, LoadState
+from papayabay_core.calls import Answer, Body, LoadState
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
-from papayabay_core.importance import Importance
-from papayabay_core.settings import DaemonSettings
-from papayabay_core.utils.clock import now
-from papayabay_daemon._internal.interfaces import Member
-from papayabay_daemon._internal.links import PeerLinks
-
-BOUND = 10
-MEGABYTES_5 = 5 * 1024 * 1024
-
-
-def make_links(name, secret="a long secret", incarnation=1, **timing):
-    settings = DaemonSettings.model_validate(
-        {
-            "vm": {"name": name, "failure_domain": "d1"},
-            "cluster": {"secret": secret},
-            "platform": {"table_url": "http://127.0.0.1", "object_url": "http://x"},
-            "timing": timing,
-        }
-    )
-    local = Member(name, incarnation, "127.0.0.1", 0, 0, 0, "d1", "r1")
-    return PeerLinks(settings, local, random.Random(1))
-
-
-def make_call(path="/", body=b"", lifetime=30.0, rest=None):
-    return Call(
-        request_id="r-1",
-        service="shop",
-        method="POST",
-        path=path,
-        headers=[("X-Name", "v\udcff\u00e9"), ("X-Empty", "")],
-        body=Body(body, rest),
-        importance=Importance.SHEDDABLE,
-        rank=65_535,
-        depth=3,
-        expires_at=now() + lifetime,
-        credits=2,
-        idempotent=False,
-        idempotency_key="k",
-        path_key="p",
-    )
-
-
-async def echo_path(call, peer):
-    return Answer(200, [], Body(call.path.encode()))
-
-
-async def parts_of(content, size):
-    for start in range(0, len(content), size):
-        yield content[start : start + size]
-
-
-async def broken_parts(content):
-    yield content
-    raise ConnectionResetError
-
-
-async def read_all(body):
-    parts = [body.first]
-    if body.rest is not None:
-        parts += [part async for part in body.rest]
-    return b"".join(parts)
-
-
-class LinksTestCase(IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.a = await self.started(make_links("a"))
-        self.b = await self.started(make_links("b"))
-        self.peer = self.b.local
-
-    async def started(self, links):
-        await links.start()
-        self.addAsyncCleanup(links.close)
-        return links
-
-    def serve(self, handler):
-        self.b.handle_calls(handler, handler)
-
-    async def assert_kind(self, kind, awaitable):
-        with self.assertRaises(CallError) as caught:
-            async with asyncio.timeout(BOUND):
-                await awaitable
-        self.assertEqual(caught.exception.kind, kind)
+from tests.unit.daemon.links_support import (
+    BOUND,
+    LinksTestCase,
+    echo_path,
+    make_call,
+)
 
 
 class CallTests(LinksTestCase):
@@ -317,77 +240,3 @@
                 await self.a.request(self.peer, "none", b"", 5)
             await self.b.announce_leaving()
             self.assertEqual(await left.get(), "b")
-
-
-class BodyTests(LinksTestCase):
-    async def test_slow_reader_does_not_block_small_calls(self):
-        content = random.Random(3).randbytes(MEGABYTES_5)
-        go_on = asyncio.Event()
-        half = asyncio.Event()
-
-        async def handler(call, peer):
-            if call.path == "/small":
-                return Answer(200)
-            half.set()
-            await go_on.wait()
-            got = await read_all(call.body)
-            return Answer(200, [], Body(got[:10], parts_of(got[10:], 100_000)))
-
-        self.serve(handler)
-        body = Body(content)
-        call = make_call("/large")
-        call.body = body
-        large = asyncio.create_task(self.a.call(self.peer, call))
-        async with asyncio.timeout(BOUND):
-            await half.wait()
-            for _ in range(20):
-                await self.a.call(self.peer, make_call("/small"))
-            go_on.set()
-            answer = await large
-            for _ in range(20):
-                await self.a.call(self.peer, make_call("/small"))
-            self.assertTrue(await read_all(answer.body) == content)
-        self.assertEqual(self.a.status()[0]["in_flight"], 0)
-
-    async def test_broken_body_never_looks_whole(self):
-        """A body cut short raises in its reader.
-
-        Symptom: half a document was stored as if whole. Sequence: the
-        sender's source fails after its first part. Cause: the end of the
-        parts was taken for the end of the body.
-        """
-        failed = asyncio.Queue()
-
-        async def handler(call, peer):
-            try:
-                await read_all(call.body)
-            except CallError as error:
-                failed.put_nowait(error.kind)
-            return Answer(200, [], Body(b"a", broken_parts(b"b")))
-
-        self.serve(handler)
-        call = make_call(body=b"a", rest=broken_parts(b"b"))
-        async with asyncio.timeout(BOUND):
-            answer = await self.a.call(self.peer, call)
-            self.assertEqual(await failed.get(), ErrorKind.LINK_LOST)
-        await self.assert_kind(ErrorKind.LINK_LOST, read_all(answer.body))
-
-    async def test_unread_body_is_released(self):
-        ended = asyncio.Event()
-
-        async def endless():
-            try:
-                while True:
-                    yield bytes(10_000)
-            finally:
-                ended.set()
-
-        async def handler(call, peer):
-            return Answer(200, [], Body(b"", endless()))
-
-        self.serve(handler)
-        async with asyncio.timeout(BOUND):
-            answer = await self.a.call(self.peer, make_call())
-            del answer
-            await ended.wait()
-        self.assertEqual(self.a.status()[0]["in_flight"], 0)
--- a/tests/unit/daemon/test_links_faults.py
+++ b/tests/unit/daemon/test_links_faults.py
@@ -19,7 +19,7 @@
     PART_BYTES,
     WINDOW_BYTES,
 )
-from tests.unit.daemon.test_links_calls import (
+from tests.unit.daemon.links_support import (
     BOUND,
     LinksTestCase,
     echo_path,
--- a/tests/unit/daemon/test_links_heartbeats.py
+++ b/tests/unit/daemon/test_links_heartbeats.py
@@ -11,7 +11,7 @@
     STAMP_SECONDS,
 )
 from papayabay_daemon._internal.links.silence import SilenceWatch
-from tests.unit.daemon.test_links_calls import (
+from tests.unit.daemon.links_support import (
     BOUND,
     LinksTestCase,
     echo_path,
--- a/tests/unit/daemon/test_links_silence.py
+++ b/tests/unit/daemon/test_links_silence.py
@@ -8,7 +8,7 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.settings import TimingSettings
 from papayabay_daemon._internal.links.silence import SilenceWatch
-from tests.unit.daemon.test_links_calls import (
+from tests.unit.daemon.links_support import (
     BOUND,
     LinksTestCase,
     make_call,
--- a/tests/unit/daemon/test_status_fleet.py
+++ b/tests/unit/daemon/test_status_fleet.py
@@ -24,7 +24,7 @@
     unpack,
 )
 from papayabay_daemon._internal.status.sums import BurnSums
-from tests.unit.daemon.test_links_calls import make_links
+from tests.unit.daemon.links_support import make_links
 
 MEMBERS = 13_000
 FEWER = 1_500
