--- a/tests/unit/platform/test_list_played.py
+++ b/tests/unit/platform/test_list_played.py
@@ -40,6 +40,7 @@
         days = self.days(
             entry("2026-01-01T00:00:00Z", files, rules={"LOST": 3}),
             entry("2026-01-02T00:00:00Z", files),
+            entry("2026-01-03T00:00:00Z", [*files, "--until", "24"], gate=False),
         )
         first, second, *_ = self.script.own_day_rows(days)
         self.assertRegex(first, rf"^{path.stem} +2026-01-02  01234567  0.500  passed$")
