--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
@@ -13,9 +13,9 @@
 RECONCILE_FIRST_PERIODS = 0.5
 JOIN_FIRST_SECONDS = 0.5
 JOIN_MAX_SECONDS = 2.0
-"""Longest pause between two tries while this daemon is alone. Killed while the
-store is away, a whole fleet is only found again by its rows; whatever this
-pause is longer, calls find no upstream after the store is back."""
+"""Longest pause between two tries while this daemon is alone. A fleet that was
+killed whole while the store was away is found again by its rows alone; for up
+to this long after the store is back, calls still find no upstream."""
 SEEDS_MET = 16
 """Seeds that a starting daemon speaks to: all of a small fleet, so that those
 who start together have met when the last one is up. One seed knows only who
