Give each run of the platform's functional tests addresses of its own

Symptom: of two runs of all tests at the same time on one machine, daemons of both ended with "port 9464 of 127.0.0.2 can't be opened: Address already in use". Cause: the metrics' port is fixed by the deploy file, and both runs used the same loopback addresses. Change: the addresses are made of the test process's id.

--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -17,7 +17,10 @@
 
 COMMAND = [sys.executable, "-P", "-m", "papayabay_platform"]
 BOUND_SECONDS = 30.0
-HOSTS = ("127.0.0.2", "127.0.0.3")
+NETWORK = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+HOSTS = (f"{NETWORK}.2", f"{NETWORK}.3")
+"""Addresses of this test run alone: the port of the metrics is fixed, and two
+runs on one machine would take it from each other."""
 PORTS = ("outbound", "ready", "control", "app", "internal")
 BOOT = """
 [self]
