Look at a waiting call once when it is put off

Symptom: of calls that fall due together and are put off, some are looked at again sooner than that; they are refused no sooner, but looked at for nothing. Cause: take_due went through the heap that it began with, while a call that was added meanwhile could put a compacted one in its place, which kept the old entries. Change: the heap in force is asked each time.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/expiries.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/expiries.py
@@ -36,9 +36,9 @@
 
     def take_due(self, now):
         """Yield the calls to look at now that are still in line."""
-        heap = self.heap
-        while heap and (heap[0][0] <= now or not heap[0][-1].queued):
-            waiting = heappop(heap)[-1]
+        # Calls are added again meanwhile, which may put another heap in place.
+        while self.heap and (self.heap[0][0] <= now or not self.heap[0][-1].queued):
+            waiting = heappop(self.heap)[-1]
             if waiting.queued:
                 yield waiting
 
