--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -203,6 +203,10 @@
         return ERROR_ANSWERS[self.kind]
 
 
+PROBLEM_TYPE = ("Content-Type", "application/problem+json")
+"""Header field of an answer that holds a `problem_body`."""
+
+
 def problem_body(kind, detail="", request_id="", retry_after_ms=0):
     """Return the JSON problem details (RFC 9457) of a kind, as bytes."""
     answer = ERROR_ANSWERS[kind]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/answers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/answers.py
@@ -1,10 +1,9 @@
 """Answers made of error kinds."""
 
 from papayabay_core.calls import Answer, Body
-from papayabay_core.errors import ERROR_ANSWERS, CallError, problem_body
+from papayabay_core.errors import ERROR_ANSWERS, PROBLEM_TYPE, CallError, problem_body
 
 REQUEST_HEADER = "Papayabay-Request"
-PROBLEM_TYPE = "application/problem+json"
 
 
 def error_answer(error, request_id="", credits_left=0, load=None):
@@ -21,7 +20,7 @@
     row = ERROR_ANSWERS[error.kind]
     return Answer(
         status=row.status,
-        headers=[("Content-Type", PROBLEM_TYPE)],
+        headers=[PROBLEM_TYPE],
         body=Body(
             problem_body(error.kind, error.detail, request_id, error.retry_after_ms)
         ),
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
@@ -5,7 +5,7 @@
 import re
 
 from papayabay_core.calls import Answer, Body
-from papayabay_core.errors import ERROR_ANSWERS, problem_body
+from papayabay_core.errors import ERROR_ANSWERS, PROBLEM_TYPE, problem_body
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.doors.incoming import Incoming, bad_request
 
@@ -16,7 +16,6 @@
 DIGITS_PATTERN = re.compile(r"[0-9]{1,7}")
 EFFECT_HEADER = "Papayabay-Effect"
 REQUEST_HEADER = "papayabay-request"
-PROBLEM_TYPE = ("Content-Type", "application/problem+json")
 
 
 class OwnCallerDialect:
