Pipeline requests, and stand doors and target on httptools

Change: one protocol for clients' connections and one for those to the target, both on httptools' parser. Safe requests without a body run beside each other, answers leave in order; the target's pool is our own. TargetDialect takes an answer's fields as a mapping in place of a list that each method went through. Two assertions named members of aiohttp (ClientError, connector.closed); they now name PayloadBroken, and that the connection and the pool have ended.

--- a/packages/papayabay-core/src/papayabay_core/settings.py
+++ b/packages/papayabay-core/src/papayabay_core/settings.py
@@ -129,6 +129,7 @@
     body_bytes: Annotated[int, Field(ge=1_024)] = 64 * 1024 * 1024
     inline_body_bytes: Annotated[int, Field(ge=1_024, le=1_048_576)] = 65_536
     connections: Annotated[int, Field(ge=16, le=1_000_000)] = 16_384
+    pipelined_requests: Annotated[int, Field(ge=1, le=1_024)] = 32
     depth: Annotated[int, Field(ge=1, le=255)] = 40
     drain_ms: Milliseconds = 60_000
     leaving_accept_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/body.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/body.py
@@ -1,8 +1,5 @@
 """Request bodies: whole when small, streamed when large."""
 
-from aiohttp import hdrs
-from aiohttp.web import HTTPException, RequestPayloadError
-
 from papayabay_core.calls import Body
 from papayabay_core.errors import CallError, ErrorKind
 
@@ -47,18 +44,17 @@
         CallError
             BODY_TOO_LARGE or BAD_REQUEST.
         """
-        request = self.request
-        if not request.body_exists:
+        payload = self.request.payload
+        if payload is None:
             return Body()
-        if (request.content_length or 0) > self.limits.body_bytes:
+        if (self.request.head.length or 0) > self.limits.body_bytes:
             raise self.fail(ErrorKind.BODY_TOO_LARGE)
         self.send_continue()
         parts = []
-        content = request.content
         inline = self.limits.inline_body_bytes
         while self.total < inline:
             parts.append(await self.next_part(inline - self.total))
-            if content.at_eof():
+            if payload.at_end:
                 return Body(b"".join(parts))
         return Body(b"".join(parts), self.stream())
 
@@ -71,8 +67,8 @@
     async def next_part(self, size=PART_BYTES):
         """Return up to `size` bytes that arrived next; empty at the end."""
         try:
-            part = await self.request.content.read(size)
-        except (RequestPayloadError, HTTPException) as error:
+            part = await self.request.payload.read(size)
+        except CallError as error:
             raise self.fail(ErrorKind.BAD_REQUEST, "the body is malformed") from error
         self.total += len(part)
         if self.total > self.limits.body_bytes:
@@ -81,11 +77,11 @@
 
     def send_continue(self):
         """Let a client go on that waits to be told so (RFC 9110, 10.1.1)."""
-        expect = self.request.headers.get(hdrs.EXPECT)
-        if expect is None or expect.lower() != "100-continue":
+        request = self.request
+        if request.header(b"expect").lower() != "100-continue":
             return
-        if self.request.transport is not None and not self.request.content.is_eof():
-            self.request.transport.write(CONTINUE)
+        if not request.payload.complete and not request.connection.closed:
+            request.connection.transport.write(CONTINUE)
 
     def fail(self, kind, detail=""):
         """Note and return the error that ended the reading."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -102,7 +102,7 @@
     CallError
         HEADERS_TOO_LARGE, or BAD_REQUEST.
     """
-    raw_headers = request.raw_headers
+    raw_headers = request.head.fields
     size = sum([len(name) + len(value) + 4 for name, value in raw_headers])
     if size > limits.header_bytes:
         raise CallError(ErrorKind.HEADERS_TOO_LARGE)
@@ -123,11 +123,11 @@
 
 
 async def read_incoming(request, limits, dialect):
-    """Return an aiohttp request as `Incoming`, and its body's state.
+    """Return a request as `Incoming`, and its body's state.
 
     Parameters
     ----------
-    request : aiohttp.web.BaseRequest
+    request : Request
     limits : LimitSettings
     dialect : CallerDialect
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
@@ -1,8 +1,6 @@
 """Writing answers to HTTP clients."""
 
 import json
-import socket
-import struct
 import time
 from http import HTTPStatus
 from wsgiref.handlers import format_date_time
@@ -11,6 +9,7 @@
 from papayabay_core.errors import Effect
 from papayabay_daemon._internal.doors.headers import TEXT, declared_length
 from papayabay_daemon._internal.doors.streaming import write_body
+from papayabay_daemon._internal.http.connection import BodyWriter
 
 STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n"
@@ -45,33 +44,17 @@
     return Answer(status, [("Content-Type", "application/json")], Body(body))
 
 
-def reset(transport):
-    """Break a connection so that its client can't take the end for regular.
-
-    Closing in order ends a body without a length: an HTTP/1.0 client would
-    take half an answer for whole. A reset can't be mistaken; it is what a
-    socket sends that is closed with a linger time of 0.
-    """
-    linger = struct.pack("ii", 1, 0)
-    sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    transport.abort()
-
-
 class DoorResponse:
     """Writes one answer as it is: no header is added to or taken from it
     but those of the connection, Date and what the dialect ends with.
 
-    It has the three members that aiohttp's connection handler uses of a
-    response.
-
     Attributes
     ----------
     keep_alive : bool
         Whether the connection takes another request.
     """  # noqa: D205
 
-    __slots__ = ("answer", "dialect", "keep_alive", "request")
+    __slots__ = ("answer", "connection", "dialect", "keep_alive", "request")
 
     def __init__(self, answer, dialect, keep_alive=True):
         if answer.kind is not None:
@@ -79,38 +62,49 @@
         self.answer = answer
         self.dialect = dialect
         self.keep_alive = keep_alive
+        self.connection = None
         self.request = None
 
-    async def prepare(self, request):
-        """Take the request that is answered."""
-        self.request = request
-        self.keep_alive = self.keep_alive and bool(request.keep_alive)
-
-    async def write_eof(self):
+    async def send(self, connection, request, is_last):
         """Write head and body.
 
+        Parameters
+        ----------
+        connection : ServerConnection
+        request : Request or None
+            None where no request could be read.
+        is_last : bool
+            Whether the connection ends with this answer.
+
         Raises
         ------
         ConnectionError
             When the client left, or the body could not be had to its end.
         """
+        self.connection = connection
+        self.request = request
+        self.keep_alive = self.keep_alive and not is_last
         try:
-            transport = self.request.transport
-            if transport is None or transport.is_closing():
+            if connection.closed or connection.transport.is_closing():
                 raise ConnectionResetError("the client left")
             if self.answer.body.whole:
-                transport.write(self.whole_message())
+                connection.transport.write(self.whole_message())
             else:
-                await self.write_stream(transport)
+                await self.write_stream()
         finally:
             close = getattr(self.answer.body.rest, "aclose", None)
             if close is not None:
                 await close()
 
+    @property
+    def is_old(self):
+        """Whether the client speaks an HTTP before 1.1."""
+        return self.request is not None and self.request.version < "1.1"
+
     def has_body(self):
         """Whether a body follows the head."""
-        status = self.answer.status
-        return self.request.method != "HEAD" and status not in WITHOUT_BODY
+        is_head = self.request is not None and self.request.method == "HEAD"
+        return not is_head and self.answer.status not in WITHOUT_BODY
 
     def whole_message(self):
         """Return head and body in one piece, so that one write sends both."""
@@ -119,25 +113,24 @@
             return self.head(f"Content-Length: {len(body)}\r\n", False) + body
         return self.head("", self.answer.status != 204)
 
-    async def write_stream(self, transport):
+    async def write_stream(self):
         """Write a body whose parts are still to come."""
+        connection = self.connection
         if not self.has_body():
-            transport.write(self.head("", self.answer.status != 204))
+            connection.transport.write(self.head("", self.answer.status != 204))
             return
-        writer = self.request.writer
         framing = ""
         length = declared_length(self.answer.headers)
         sized = length is not None
-        if not sized and self.request.version >= (1, 1):
+        chunked = not sized and not self.is_old
+        if chunked:
             framing = "Transfer-Encoding: chunked\r\n"
-            writer.enable_chunking()
         elif not sized:
             self.keep_alive = False
-        transport.write(self.head(framing, sized))
+        connection.transport.write(self.head(framing, sized))
         try:
-            await write_body(writer, self.answer.body, length)
+            await write_body(BodyWriter(connection, chunked), self.answer.body, length)
         except Exception as error:
-            reset(transport)
             raise ConnectionResetError("the answer broke off") from error
 
     def head(self, framing, keep_length):
@@ -157,7 +150,7 @@
         lines.append(framing)
         if not self.keep_alive:
             lines.append("Connection: close\r\n")
-        elif self.request.version < (1, 1):
+        elif self.is_old:
             lines.append("Connection: keep-alive\r\n")
         lines.append("\r\n")
         return "".join(lines).encode(*TEXT)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/status.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/status.py
@@ -8,6 +8,8 @@
 from papayabay_daemon._internal.doors.protocol import Door
 from papayabay_daemon._internal.doors.response import json_answer
 
+PROOF_FIELD = PROOF_HEADER.lower().encode()
+
 
 class StatusDoor(Door):
     """Serves JSON views of the daemon's state.
@@ -40,7 +42,7 @@
         view = self.routes.get(request.path)
         if view is None:
             raise CallError(ErrorKind.UNKNOWN_SERVICE, "no such view")
-        return json_answer(await view(dict(request.query)))
+        return json_answer(await view(request.query))
 
     async def take(self, request):
         """Hand over a message that an operator proves to have sent.
@@ -50,7 +52,7 @@
         would see versions that the store never had.
         """
         content = await read_message(request, self.limits)
-        proof = request.headers.get(PROOF_HEADER, "")
+        proof = request.header(PROOF_FIELD)
         if not is_proven(self.secret, content, proof):
             raise bad_request(f"{PROOF_HEADER} is missing or wrong")
         try:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/streaming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/streaming.py
@@ -15,7 +15,7 @@
 
     Parameters
     ----------
-    writer : aiohttp StreamWriter
+    writer : BodyWriter
     body : Body
     length : int or None
         What the head announced; None for a chunked body.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/asking.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/asking.py
@@ -5,6 +5,8 @@
 import aiohttp
 import logbook
 
+from papayabay_daemon._internal.doors.headers import first_values
+
 ASK_SECONDS = 1.0
 """Longest wait for the target's answer; it announces itself later anyway."""
 LOOK_SECONDS = 0.05
@@ -68,7 +70,7 @@
                 aiohttp.ClientSession(timeout=timeout) as session,
                 session.get(url, allow_redirects=False) as response,
             ):
-                fields = response.raw_headers
+                fields = first_values(response.raw_headers)
                 return self.dialect.announced(self.target, response.status, fields)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info("target not there yet: {!r}", error)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import aiohttp
-
 from papayabay_core.calls import Answer
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_daemon._internal.doors.headers import end_to_end, without
@@ -71,7 +69,7 @@
         if pool is not None and pool.serves(announcement):
             pool.announcement = announcement
             return pool
-        self.pool = TargetPool(announcement)
+        self.pool = TargetPool(announcement, self.limits)
         if pool is not None:
             pool.retire()
         return self.pool
@@ -84,7 +82,8 @@
         exchange = None
         try:
             with LifeTimeout(remaining):
-                exchange = Exchange(await self.connect(pool), self.limits)
+                connection = await self.connect(pool)
+                exchange = Exchange(pool, connection, self.limits)
                 head = self.dialect.request_head(call, call_token, pool.announcement)
                 exchange.send(call, head)
                 return await self.receive(exchange, call, call_token, pool)
@@ -113,7 +112,7 @@
         """Return a connection, and let the registry know how it went."""
         try:
             connection = await pool.connect()
-        except (aiohttp.ClientError, OSError) as error:
+        except OSError as error:
             self.registry.connect_failed(pool.announcement)
             raise CallError(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
         self.registry.connected()
@@ -128,20 +127,20 @@
             TARGET_SHED, TARGET_REJECTED or REFUSED_BELOW, not run;
             TARGET_LOST.
         """
-        status, raw_headers = await self.receive_own(exchange, call)
-        idle_seconds = self.dialect.idle_seconds(raw_headers)
-        pool.note_use(exchange.connection, idle_seconds)
-        verdict = self.dialect.judge(call, pool.announcement, status, raw_headers)
+        message = await self.receive_own(exchange, call)
+        status, fields = message.status, message.head.first
+        pool.note_idle(self.dialect.idle_seconds(fields))
+        verdict = self.dialect.judge(call, pool.announcement, status, fields)
         if verdict in REFUSALS:
             exchange.discard()
-            pause = self.dialect.retry_after_ms(raw_headers)
+            pause = self.dialect.retry_after_ms(fields)
             raise CallError(REFUSALS[verdict], retry_after_ms=pause)
         if verdict is Verdict.DOUBTFUL:
             raise CallError(ErrorKind.TARGET_LOST, f"a {status} that can't be its own")
         # Decoded before the body, so that a field that can't travel on ends
         # the call at once.
-        headers = end_to_end(raw_headers, self.dialect.names).kept
-        body = await exchange.read_body(call.remaining)
+        headers = end_to_end(message.head.fields, self.dialect.names).kept
+        body = exchange.body(call.remaining)
         if not body.whole:
             self.follow(body.rest, call_token, pool)
         elif call.method != "HEAD" and status != NOT_MODIFIED:
@@ -149,16 +148,16 @@
         return Answer(status, headers, body)
 
     async def receive_own(self, exchange, call):
-        """Return status and fields of the answer to this very request.
+        """Return the answer to this very request.
 
         A target may send a second answer to an earlier request when that
         one has long ended, and the connection serves another. Taken for the
         next answer, it would go to the wrong caller.
         """
         for _ in range(MAX_STRAY_ANSWERS):
-            status, raw_headers = await exchange.receive()
-            if not self.dialect.is_stray(call, raw_headers):
-                return status, raw_headers
+            message = await exchange.receive()
+            if not self.dialect.is_stray(call, message.head.first):
+                return message
             await exchange.skip()
         raise CallError(ErrorKind.TARGET_LOST, "answers to other requests only")
 
@@ -184,4 +183,4 @@
         """Close all connections."""
         await self.notices.close()
         if self.pool is not None:
-            await self.pool.close()
+            self.pool.close()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -1,6 +1,7 @@
 """How a daemon talks to its target, and how it takes what comes back."""
 
 import re
+from collections.abc import Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -17,6 +18,10 @@
 MAX_RETRY_AFTER_S = 3_600
 
 
+RawFields = Mapping[bytes, bytes]
+"""First value of each header field of an answer, by lower-case name."""
+
+
 class Verdict(Enum):
     """What an answer of the target is worth.
 
@@ -49,22 +54,22 @@
     ) -> bytes:
         """Return the request line and all header fields."""
 
-    def is_stray(self, call: Call, raw_headers) -> bool:
+    def is_stray(self, call: Call, fields: RawFields) -> bool:
         """Return whether an answer is known to belong to another request."""
 
     def judge(
-        self, call: Call, announcement: Announcement, status: int, raw_headers
+        self, call: Call, announcement: Announcement, status: int, fields: RawFields
     ) -> Verdict:
         """Return what the answer to this request is worth."""
 
-    def retry_after_ms(self, raw_headers) -> int:
+    def retry_after_ms(self, fields: RawFields) -> int:
         """Return when a refusal says to come back, milliseconds; 0 without."""
 
-    def idle_seconds(self, raw_headers) -> float | None:
+    def idle_seconds(self, fields: RawFields) -> float | None:
         """Return how long the target keeps an idle connection, if it says."""
 
     def announced(
-        self, target: TargetSettings, status: int, raw_headers
+        self, target: TargetSettings, status: int, fields: RawFields
     ) -> Announcement | None:
         """Return what the answer to a question for health amounts to.
 
@@ -82,27 +87,27 @@
         fields = own_fields(call, call_token)
         return encode_head(call, f"Host: {call.service}\r\n", fields)
 
-    def is_stray(self, call, raw_headers):
+    def is_stray(self, call, fields):
         """Return False: these targets don't say whom they answer."""
         return False
 
-    def judge(self, call, announcement, status, raw_headers):
+    def judge(self, call, announcement, status, fields):
         """Return whether the target shed the call, or answered it."""
         if status == announcement.shed_status:
             return Verdict.SHED
-        if ran_nothing(status, raw_headers):
+        if ran_nothing(status, fields):
             return Verdict.REFUSED_BELOW
         return Verdict.ANSWER
 
-    def retry_after_ms(self, raw_headers):
+    def retry_after_ms(self, fields):
         """Return when the target says to come back."""
-        return retry_after_ms(raw_headers)
+        return retry_after_ms(fields)
 
-    def idle_seconds(self, raw_headers):
+    def idle_seconds(self, fields):
         """Return what a Keep-Alive field says."""
-        return keep_alive_seconds(raw_headers)
+        return keep_alive_seconds(fields)
 
-    def announced(self, target, status, raw_headers):
+    def announced(self, target, status, fields):
         """Return None: these targets only announce themselves."""
         return None
 
@@ -151,9 +156,8 @@
     return ""
 
 
-def retry_after_ms(raw_headers):
+def retry_after_ms(fields):
     """Return when the target says to come back, milliseconds; 0 without."""
-    fields = {name.lower(): value for name, value in raw_headers}
     exact = fields.get(RETRY_AFTER_MS_FIELD, b"")
     if exact.isdigit() and len(exact) < MAX_DIGITS:
         return min(int(exact), MAX_RETRY_AFTER_S * 1000)
@@ -163,24 +167,17 @@
     return 0
 
 
-def keep_alive_seconds(raw_headers):
+def keep_alive_seconds(fields):
     """Return the timeout of a Keep-Alive field in seconds, or None."""
-    for name, value in raw_headers:
-        if name.lower() == b"keep-alive":
-            found = KEEP_ALIVE_PATTERN.search(value)
-            return float(found[1]) if found else None
-    return None
+    found = KEEP_ALIVE_PATTERN.search(fields.get(b"keep-alive", b""))
+    return float(found[1]) if found else None
 
 
-def ran_nothing(status, raw_headers):
+def ran_nothing(status, fields):
     """Return whether the target says that it ran nothing.
 
     A target whose own call was refused before it did anything itself may
     pass that on. Taken for a target's answer, the refusal would be kept as
     the final answer of the request's key, and repeating could never help.
     """
-    if status < SERVER_ERROR:
-        return False
-    return any(
-        name.lower() == EFFECT_FIELD and value == NOT_RUN for name, value in raw_headers
-    )
+    return status >= SERVER_ERROR and fields.get(EFFECT_FIELD) == NOT_RUN
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
@@ -1,25 +1,15 @@
-"""One HTTP/1.1 request and its answer on one connection to the target.
-
-aiohttp brings the connections, their pool and the parser. Its own request
-and response objects are left out: they cost more than the rest of the
-call, and they repeat a request whose connection was lost, which is not
-theirs to decide here.
-"""
+"""One HTTP/1.1 request and its answer on one connection to the target."""
 
 import asyncio
 
-from aiohttp import ClientPayloadError
-from aiohttp.http_writer import StreamWriter
-
 from papayabay_core.calls import Body
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.doors.streaming import write_body
+from papayabay_daemon._internal.http.connection import BodyWriter
+from papayabay_daemon._internal.http.payload import PayloadBroken
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
 
-MAX_HEADER_FIELDS = 256
-READ_BUFFER_BYTES = 65_536
 PART_BYTES = 65_536
-FIRST_FINAL_STATUS = 200
 
 
 class Exchange:
@@ -27,18 +17,26 @@
 
     Parameters
     ----------
-    connection : aiohttp.connector.Connection
+    pool : TargetPool
+        Gets the connection back.
+    connection : ClientConnection
     limits : LimitSettings
+
+    Attributes
+    ----------
+    ended : bool
+        Whether the connection was given back or closed.
     """
 
-    __slots__ = ("connection", "limits", "payload", "protocol", "upload")
+    __slots__ = ("connection", "ended", "limits", "message", "pool", "upload")
 
-    def __init__(self, connection, limits):
+    def __init__(self, pool, connection, limits):
+        self.pool = pool
         self.connection = connection
-        self.protocol = connection.protocol
         self.limits = limits
-        self.payload = None
+        self.message = None
         self.upload = None
+        self.ended = False
 
     def send(self, call, head):
         """Write a call; large bodies go on being written by a task.
@@ -49,64 +47,48 @@
         head : bytes
             Request line and header fields.
         """
-        self.protocol.set_response_params(
-            skip_payload=call.method == "HEAD",
-            read_until_eof=True,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=self.limits.header_bytes,
-            max_field_size=self.limits.header_bytes,
-            max_headers=MAX_HEADER_FIELDS,
-        )
-        self.protocol.transport.write(
-            head + call.body.first if call.body.whole else head
-        )
-        if not call.body.whole:
+        self.connection.begin(bodiless=call.method == "HEAD")
+        body = call.body
+        whole = body.whole and body.first
+        self.connection.transport.write(head + body.first if whole else head)
+        if not body.whole:
             self.upload = asyncio.create_task(self.send_body(call))
 
     async def send_body(self, call):
         """Write a streamed body; its failure fails the exchange."""
-        writer = StreamWriter(self.protocol, asyncio.get_running_loop())
         length = rules.declared_length(call.headers)
-        if length is None:
-            writer.enable_chunking()
+        writer = BodyWriter(self.connection, chunked=length is None)
         try:
             await write_body(writer, call.body, length)
         except Exception as error:
             # Nobody awaits this task. Without passing its error on, the
             # target would wait for the body and the caller for the answer
-            # until the call's life ends. It becomes a payload error: what
-            # the body's source says (say, "too large: not run") is not true
-            # of a request that was partly handed over.
-            broken = ClientPayloadError(f"the request's body broke off: {error!r}")
-            self.protocol.set_exception(broken)
-            if self.payload is not None:
-                self.payload.set_exception(broken)
-            self.connection.close()
+            # until the call's life ends. It becomes an error of the payload:
+            # what the body's source says (say, "too large: not run") is not
+            # true of a request that was partly handed over.
+            broken = PayloadBroken(f"the request's body broke off: {error!r}")
+            self.connection.fail(broken)
+            self.connection.abort()
 
     async def receive(self):
-        """Return status and raw header fields of the final answer."""
-        while True:
-            message, payload = await self.protocol.read()
-            if message.code >= FIRST_FINAL_STATUS:
-                self.payload = payload
-                return message.code, message.raw_headers
+        """Return the next final answer on the connection as `Message`."""
+        self.message = await self.connection.receive()
+        return self.message
 
     async def skip(self):
         """Read an answer to its end that belongs to no request here.
 
         Raises
         ------
-        aiohttp.ClientError
+        PayloadBroken
             When it is longer than any that is read whole.
         """
-        size = 0
-        while not self.payload.at_eof():
-            size += len(await self.payload.read(PART_BYTES))
-            if size > self.limits.inline_body_bytes:
-                raise ClientPayloadError("a stray answer is too long to skip")
+        payload = self.message.payload
+        while await payload.read(PART_BYTES):
+            if payload.total > self.limits.inline_body_bytes:
+                raise PayloadBroken("a stray answer is too long to skip")
 
-    async def read_body(self, expires_after):
+    def body(self, expires_after):
         """Return the answer's body; a large one as a stream.
 
         Parameters
@@ -114,22 +96,13 @@
         expires_after : callable
             Returns the seconds of life left.
         """
-        inline = self.limits.inline_body_bytes
-        if self.payload.is_eof() and self.payload.total_bytes <= inline:
-            # Small answers arrive whole, with their head.
-            body = Body(self.payload.read_nowait())
+        payload = self.message.payload
+        if payload.complete and payload.size <= self.limits.inline_body_bytes:
+            body = Body(payload.take_all())
             self.finish()
             return body
-        parts = []
-        size = 0
-        while size < inline:
-            part = await self.payload.read(inline - size)
-            parts.append(part)
-            if self.payload.at_eof():
-                self.finish()
-                return Body(b"".join(parts))
-            size += len(part)
-        return Body(b"".join(parts), AnswerStream(self, expires_after))
+        first = payload.take_all()
+        return Body(first, AnswerStream(self, expires_after))
 
     def discard(self):
         """Leave the answer's body unread; keep the connection if possible.
@@ -137,7 +110,7 @@
         A target sheds when it is overloaded, and a new connection for each
         refusal would cost it more than the refusal itself.
         """
-        if self.payload.is_eof():
+        if self.message.payload.complete:
             self.finish()
         else:
             self.abort()
@@ -146,14 +119,20 @@
         """Give the connection back, if the whole request was written."""
         if self.upload is not None and not self.upload.done():
             self.abort()
-            return
-        self.connection.release()
+        elif not self.ended:
+            self.ended = True
+            self.pool.release(self.connection)
 
     def abort(self):
-        """Close the connection; the target sees its caller gone."""
+        """Close the connection unless it was given back before.
+
+        The target sees its caller gone.
+        """
         if self.upload is not None:
             self.upload.cancel()
-        self.connection.close()
+        if not self.ended:
+            self.ended = True
+            self.connection.abort()
 
 
 class AnswerStream:
@@ -183,14 +162,14 @@
         ------
         TimeoutError
             When the call's life ended.
-        aiohttp.ClientError
+        PayloadBroken
             When the target broke off.
         """
         if self.ended:
             raise StopAsyncIteration
         try:
             with LifeTimeout(self.expires_after()):
-                part = await self.exchange.payload.read(PART_BYTES)
+                part = await self.exchange.message.payload.read(PART_BYTES)
         except BaseException:
             self.end(whole=False)
             raise
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -1,14 +1,10 @@
 """Connections to one announced target."""
 
 import asyncio
-from functools import partial
-from weakref import WeakKeyDictionary
-
-import aiohttp
-from aiohttp.client_proto import ResponseHandler
-from yarl import URL
+from collections import deque
 
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.http.client import ClientConnection
 
 CONNECT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 30.0
@@ -17,61 +13,42 @@
 beyond any delay on the way to it, as it stands beside this daemon."""
 
 
-class TargetProtocol(ResponseHandler):
-    """The HTTP library's connection, mended where it loses the truth."""
-
-    def connection_lost(self, error):
-        """Fail a body that a reset cut off.
-
-        The library ends a body without a length with its connection, however
-        that ended. Half an answer would go to the caller as a whole one.
-        """
-        body = self._payload
-        if error is not None and body is not None and not body.is_eof():
-            self._parser = None
-            body.set_exception(aiohttp.ClientPayloadError(f"cut off: {error!r}"))
-        super().connection_lost(error)
-
-
 class TargetPool:
     """The connections that the target beside this daemon takes.
 
     Parameters
     ----------
     announcement : Announcement
+    limits : LimitSettings
 
     Attributes
     ----------
     users : int
         Calls under way, streamed answers that are still read included.
-    closing : asyncio.Task or None
-        Set once a retired pool closes.
+    open : set of ClientConnection
+        All connections, those in use too.
+    idle : list of ClientConnection
+        The latest used last; taken from there, so that few are kept busy
+        and the others end unused.
+    dialling : int
+        Connections that are being made.
+    waiters : deque of asyncio.Future
+        Calls that wait for a connection, in the order of their coming.
+    closed : bool
+        Whether it has ended, with all its connections.
     """
 
-    def __init__(self, announcement):
+    def __init__(self, announcement, limits):
         self.announcement = announcement
-        self.address = (announcement.host, announcement.port)
+        self.limits = limits
         self.users = 0
         self.idle_seconds = KEEP_ALIVE_SECONDS
-        self.used_at = WeakKeyDictionary()
+        self.open = set()
+        self.idle = []
+        self.dialling = 0
+        self.waiters = deque()
         self.retired = False
-        self.closing = None
-        self.connector = aiohttp.TCPConnector(
-            limit=announcement.connections,
-            keepalive_timeout=KEEP_ALIVE_SECONDS,
-            use_dns_cache=False,
-        )
-        # The library has no public place to name the protocol.
-        self.connector._factory = partial(
-            TargetProtocol, loop=asyncio.get_running_loop()
-        )
-        self.timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
-        # Only names the address; no request is sent by it.
-        self.request = aiohttp.ClientRequest(
-            "GET",
-            URL.build(scheme="http", host=self.address[0], port=self.address[1]),
-            loop=asyncio.get_running_loop(),
-        )
+        self.closed = False
 
     def serves(self, announcement):
         """Whether the pool fits an announcement."""
@@ -84,36 +61,98 @@
 
         Raises
         ------
-        aiohttp.ClientError or OSError
+        OSError
             When none could be made; nothing was sent.
         """
         while True:
-            connection = await self.connector.connect(self.request, [], self.timeout)
-            # Bytes that came while the connection was idle belong to no
-            # request. They would be read as the answer to the next one.
-            if not (connection.protocol.should_close or self.is_overdue(connection)):
+            connection = self.take_idle()
+            if connection is not None:
                 return connection
-            connection.close()
+            if len(self.open) + self.dialling < self.announcement.connections:
+                return await self.dial()
+            await self.wait()
 
-    def is_overdue(self, connection):
-        """Whether the target is about to close an idle connection.
+    def take_idle(self):
+        """Return the connection used last, or None.
 
-        A request that crosses the close may have been read or not; one that
-        must run at most once could then neither be repeated nor answered.
+        A request that crosses the target's closing of an idle connection may
+        have been read or not; one that must run at most once could then
+        neither be repeated nor answered. So those that the target is about
+        to close are closed here.
         """
-        used_at = self.used_at.get(connection.protocol)
-        return used_at is not None and now() - used_at > self.idle_seconds
-
-    def note_use(self, connection, idle_seconds):
-        """Note that a connection was used, and how long it may stay idle.
-
-        Parameters
-        ----------
-        connection : aiohttp.connector.Connection
-        idle_seconds : float or None
-            As the target says; None where it says nothing.
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.closed or connection.transport.is_closing():
+                continue
+            if now() - connection.used_at <= self.idle_seconds:
+                return connection
+            connection.abort()
+        return None
+
+    async def dial(self):
+        """Return a new connection."""
+        loop = asyncio.get_running_loop()
+        announcement = self.announcement
+        self.dialling += 1
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self.limits, self.lost),
+                    announcement.host,
+                    announcement.port,
+                )
+        except TimeoutError:
+            raise ConnectionError("the target takes no connection") from None
+        finally:
+            self.dialling -= 1
+            self.wake_one()
+        self.open.add(connection)
+        return connection
+
+    async def wait(self):
+        """Wait until a connection may be free."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            # Woken and cancelled in one turn: the next in line would wait
+            # for a connection that nobody uses.
+            if waiter.done() and not waiter.cancelled():
+                self.wake_one()
+            raise
+
+    def wake_one(self):
+        """Let the first that waits look again."""
+        while self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def release(self, connection):
+        """Take a connection back after its answer was read to its end.
+
+        Bytes beyond the answer belong to no request. They would be read as
+        the answer to the next one, so that such a connection is closed.
         """
-        self.used_at[connection.protocol] = now()
+        connection.busy = False
+        if not connection.reusable or self.closed:
+            connection.abort()
+            return
+        connection.used_at = now()
+        self.idle.append(connection)
+        self.wake_one()
+
+    def lost(self, connection):
+        """Forget a connection that has ended."""
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.wake_one()
+
+    def note_idle(self, idle_seconds):
+        """Note how long the target keeps an idle connection, if it says."""
         if idle_seconds is not None:
             spare = max(0.0, idle_seconds - IDLE_MARGIN_SECONDS)
             self.idle_seconds = min(KEEP_ALIVE_SECONDS, spare)
@@ -135,8 +174,10 @@
     def close_if_unused(self):
         """Close a retired pool without users."""
         if self.retired and self.users == 0:
-            self.closing = asyncio.create_task(self.close())
+            self.close()
 
-    async def close(self):
+    def close(self):
         """Close all connections, those in use too."""
-        await self.connector.close()
+        self.closed = True
+        for connection in list(self.open):
+            connection.abort()
--- a/tests/unit/daemon/door_fakes.py
+++ b/tests/unit/daemon/door_fakes.py
@@ -139,12 +139,18 @@
         return self.time
 
 
+async def open_door(flow, key_minter=None, **limits):
+    """Return a callers' door; whoever opens it closes it."""
+    door = CallerDoor(settings(**limits), flow, key_minter)
+    await door.start()
+    return door
+
+
 class DoorTestCase(unittest.IsolatedAsyncioTestCase):
     """Opens callers' doors, and asks at them."""
 
     async def open(self, flow, key_minter=None, **limits):
-        door = CallerDoor(settings(**limits), flow, key_minter)
-        await door.start()
+        door = await open_door(flow, key_minter, **limits)
         self.addAsyncCleanup(door.close)
         return door
 
--- a/tests/unit/daemon/test_target_client.py
+++ b/tests/unit/daemon/test_target_client.py
@@ -3,10 +3,9 @@
 import struct
 import unittest
 
-from aiohttp import ClientError
-
 from papayabay_core.calls import Body
 from papayabay_core.errors import CallError, Effect, ErrorKind
+from papayabay_daemon._internal.http.payload import PayloadBroken
 from papayabay_daemon._internal.target import (
     Announcement,
     HttpTargetClient,
@@ -289,7 +288,7 @@
         await self.open(behave)
         answer = await self.run_call()
         go.set()
-        with self.assertRaises(ClientError):
+        with self.assertRaises(PayloadBroken):
             await bounded(self.drain(answer.body.rest))
         self.assertEqual(self.client.pool.users, 0)
 
@@ -322,8 +321,8 @@
         await self.run_call()
         go.set()
         self.assertEqual((await bounded(running)).body.first, b"ok")
-        await bounded(old_pool.closing)
-        self.assertTrue(old_pool.connector.closed)
+        await bounded(old.gone.wait())
+        self.assertTrue(old_pool.closed)
 
     async def test_changed_promises_hold_for_a_kept_pool(self):
         data = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -2,6 +2,7 @@
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.settings import TargetSettings
+from papayabay_daemon._internal.doors.headers import first_values
 from papayabay_daemon._internal.target import HttpTargetClient
 from papayabay_daemon.adapters import Announcement, Verdict
 from papayabay_platform.target_dialect import PlatformTargetDialect
@@ -30,7 +31,8 @@
 class JudgingTest(unittest.TestCase):
     def judge(self, status, *fields):
         made = call()
-        return PlatformTargetDialect().judge(made, announcement(), status, fields)
+        values = first_values(fields)
+        return PlatformTargetDialect().judge(made, announcement(), status, values)
 
     def test_verdicts(self):
         not_run = (b"X-Papayabay-Not-Run", b"1")
@@ -60,7 +62,12 @@
         target = TargetSettings(service="svc", host="10.0.0.1", port=80)
         instance = (b"X-Papayabay-Upstream-Instance", b"i-7")
         load = (b"X-Papayabay-Upstream-Load", b"3,0,8")
-        announced = PlatformTargetDialect().announced
+
+        def announced(target, status, fields):
+            return PlatformTargetDialect().announced(
+                target, status, first_values(fields)
+            )
+
         found = announced(target, 200, (instance, load))
         self.assertEqual((found.incarnation, found.slots), ("i-7", 8))
         self.assertIsNone(announced(target, 503, (instance, load)))
