--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/seeds.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/seeds.py
@@ -161,7 +161,9 @@
         """Return whether a row is due to be written again."""
         written = value.get("written_at")
         age = time.time() - (written if isinstance(written, int | float) else 0)
-        if age > RENEW_SECONDS:
+        # A time far ahead was written by a clock that was set back since, or
+        # by somebody else; the row would never grow old.
+        if abs(age) > RENEW_SECONDS or age != age:
             return True
         gone = any(seed not in wanted for seed in seeds)
         short = len(seeds) < min(SEEDS_PER_DOMAIN, len(wanted))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
@@ -59,7 +59,11 @@
     shed_status : int
         The status by which it promises to refuse before running; 0 without.
     incarnation : str
-        Changes when the target's process is another one.
+        The name that the target's process gives itself.
+    born_ms : int
+        When that process started, Unix milliseconds by the target's clock; 0
+        where it doesn't say. A process that starts again may keep the name
+        of the one before it, and then differs in this alone.
     lease_ms : int
         How long the announcement holds without being repeated.
     sequence : int
@@ -83,15 +87,21 @@
     drain_path: str = ""
     shed_status: int = 0
     incarnation: str = ""
+    born_ms: int = 0
     lease_ms: int = DEFAULT_LEASE_MS
     sequence: int = 0
     draining: bool = False
     announced_at: float = 0.0
 
+    @property
+    def process(self):
+        """What tells its process from all others that were at this VM."""
+        return self.incarnation, self.born_ms
+
     def same_process(self, other):
         """Whether both announcements are of one process."""
-        mine = (self.service, self.host, self.port, self.incarnation)
-        return mine == (other.service, other.host, other.port, other.incarnation)
+        mine = (self.service, self.host, self.port, self.process)
+        return mine == (other.service, other.host, other.port, other.process)
 
     def says_the_same(self, other):
         """Whether another one differs in nothing but its number."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -15,6 +15,7 @@
 REFUSALS = {
     Verdict.SHED: ErrorKind.TARGET_SHED,
     Verdict.REJECTED: ErrorKind.TARGET_REJECTED,
+    Verdict.REPLACED: ErrorKind.TARGET_SHED,
     Verdict.REFUSED_BELOW: ErrorKind.REFUSED_BELOW,
 }
 MAX_STRAY_ANSWERS = 4
@@ -133,6 +134,8 @@
         verdict = self.dialect.judge(call, pool.announcement, status, fields)
         if verdict in REFUSALS:
             exchange.discard()
+            if verdict is Verdict.REPLACED:
+                self.registry.replaced(pool.announcement)
             pause = self.dialect.retry_after_ms(fields)
             raise CallError(REFUSALS[verdict], retry_after_ms=pause)
         if verdict is Verdict.DOUBTFUL:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -28,12 +28,14 @@
     ``ANSWER`` goes to the caller as it is. ``SHED``, ``REJECTED`` and
     ``REFUSED_BELOW`` promise that the call was not run; ``REJECTED`` comes
     from a target that says it has slots free, so that handing over fewer
-    calls would not help. After ``DOUBTFUL`` nobody knows.
+    calls would not help, and ``REPLACED`` from another process than the one
+    that is announced. After ``DOUBTFUL`` nobody knows.
     """
 
     ANSWER = "answer"
     SHED = "shed"
     REJECTED = "rejected"
+    REPLACED = "replaced"
     REFUSED_BELOW = "refused-below"
     DOUBTFUL = "doubtful"
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -65,6 +65,10 @@
             return False
         moment = self.clock()
         previous = self.current
+        if previous is not None and previous.process != announcement.process:
+            # One address has one process, so that the former one has ended;
+            # what it sent before may still come.
+            self.remember(previous.process, GONE)
         known = previous is not None and previous.same_process(announcement)
         announcement.announced_at = previous.announced_at if known else moment
         if known:
@@ -97,28 +101,49 @@
         """
         if not announcement.sequence:
             return False
-        incarnation = announcement.incarnation
-        newest = self.sequences.get(incarnation, 0)
+        if self.is_succeeded(announcement):
+            return True
+        newest = self.sequences.get(announcement.process, 0)
         if announcement.sequence <= newest:
             return True
-        self.remember(incarnation, announcement.sequence)
+        self.remember(announcement.process, announcement.sequence)
         return False
 
-    def remember(self, incarnation, sequence):
+    def is_succeeded(self, announcement):
+        """Whether a process started later, by its word, is in force.
+
+        Numbers begin anew with each process, and one that this daemon never
+        heard of has none here: only the starts tell that it is the former.
+        """
+        current = self.current
+        if current is None or not announcement.born_ms:
+            return False
+        return announcement.born_ms < current.born_ms
+
+    def remember(self, process, sequence):
         """Keep the newest number of a process; the oldest go."""
-        self.sequences[incarnation] = sequence
-        self.sequences.move_to_end(incarnation)
+        self.sequences[process] = sequence
+        self.sequences.move_to_end(process)
         if len(self.sequences) > INCARNATIONS_KEPT:
             self.sequences.popitem(last=False)
 
-    def gone(self, incarnation):
+    def gone(self, incarnation, born_ms=0):
         """Take in that a process takes no new calls, and ends soon.
 
         It goes on with the calls that it has, and makes calls of its own.
+
+        Parameters
+        ----------
+        incarnation : str
+        born_ms : int
+            As announced; 0 stands for the process of that name in force.
         """
-        self.remember(incarnation, GONE)
         current = self.current
-        if current is None or current.incarnation != incarnation:
+        is_current = current is not None and current.incarnation == incarnation
+        if is_current and not born_ms:
+            born_ms = current.born_ms
+        self.remember((incarnation, born_ms), GONE)
+        if not is_current or current.born_ms != born_ms:
             return
         if not current.draining:
             log.notice("target of {} has gone", current.service)
@@ -133,6 +158,16 @@
         self.announcement = None
         self.notify()
 
+    def replaced(self, announcement):
+        """Note that another process answered at the target's address.
+
+        Until that one announces itself, each call would go there, named for
+        a process that has ended, and be refused.
+        """
+        if self.announcement is announcement:
+            self.remember(announcement.process, GONE)
+            self.withdraw("another process answers at its address")
+
     def connected(self):
         """Note that the target took a connection."""
         self.connect_failures = 0
--- a/tests/unit/daemon/test_target_registry.py
+++ b/tests/unit/daemon/test_target_registry.py
@@ -90,6 +90,54 @@
         self.assertEqual(self.registry.current.incarnation, "b")
         self.assertFalse(self.registry.current.draining)
 
+    def test_a_process_that_keeps_its_name_over_a_restart_is_another_one(self):
+        """An upstream that started again got no calls.
+
+        Sequence: it crashes while draining, with many announcements made,
+        and starts again under the same name; its numbers begin anew. Cause:
+        the newest number was kept by name, so that all it said was late.
+        """
+        before = {"incarnation": "a", "born_ms": 1_000}
+        self.registry.announce(announcement(**before, sequence=7))
+        self.registry.announce(announcement(**before, sequence=8, draining=True))
+        after = {"incarnation": "a", "born_ms": 2_000}
+        self.clock.time += 0.5
+        self.assertTrue(self.registry.announce(announcement(**after, sequence=1)))
+        self.assertFalse(self.registry.current.draining)
+        self.assertEqual(self.registry.current.announced_at, self.clock.time)
+        # Nothing that the former process sent changes anything.
+        self.assertFalse(self.registry.announce(announcement(**before, sequence=9)))
+        self.registry.gone("a", 1_000)
+        self.assertFalse(self.registry.current.draining)
+        self.assertEqual(self.registry.current.born_ms, 2_000)
+        self.registry.gone("a", 2_000)
+        self.assertTrue(self.registry.current.draining)
+
+    def test_a_former_process_that_was_never_heard_of_is_late(self):
+        """Calls went to a process that had ended.
+
+        Sequence: this daemon starts after an upstream crashed and started
+        again; the new process announces itself, and then a heartbeat of the
+        old one arrives that was held up. Cause: it has no number here.
+        """
+        self.registry.announce(announcement(incarnation="b", born_ms=9, sequence=1))
+        late = announcement(incarnation="a", born_ms=8, sequence=50)
+        self.assertFalse(self.registry.announce(late))
+        self.assertEqual(self.registry.current.incarnation, "b")
+
+    def test_an_address_that_another_process_took_is_given_up(self):
+        """All calls to an upstream were refused for the rest of its lease.
+
+        Sequence: it dies and another process takes its address, which
+        refuses what names the former one. Cause: the announcement held on.
+        The clock of the new one was set back, so that it seems older.
+        """
+        self.registry.announce(announcement(incarnation="a", born_ms=9, sequence=1))
+        self.registry.replaced(self.registry.current)
+        self.assertIsNone(self.registry.current)
+        self.registry.announce(announcement(incarnation="b", born_ms=5, sequence=1))
+        self.assertEqual(self.registry.current.incarnation, "b")
+
     def test_repetitions_that_only_count_on_are_no_change(self):
         self.registry.announce(announcement(sequence=1, cold_start_ms=900))
         self.registry.announce(announcement(sequence=2, cold_start_ms=500))
--- a/tests/unit/platform/test_heartbeat_door.py
+++ b/tests/unit/platform/test_heartbeat_door.py
@@ -84,6 +84,46 @@
         await self.beat("i-2", 0)
         self.assertFalse(self.registry.current.draining)
 
+    async def test_a_restart_under_the_same_id_begins_anew(self):
+        """An upstream that started again under its id stayed unknown.
+
+        Its numbers begin anew, and were taken for those of late heartbeats.
+        """
+        await self.beat("i-1", 8, "draining", born=1_000)
+        await self.beat("i-1", 1, born=2_000)
+        self.assertFalse(self.registry.current.draining)
+        await self.beat("i-1", 9, "draining", born=1_000)
+        status, _ = await self.post("/Instances.Deregister/i-1", {"born": 1_000})
+        self.assertEqual(status, 200)
+        self.assertFalse(self.registry.current.draining)
+        await self.post("/Instances.Deregister/i-1", {"born": 2_000})
+        self.assertTrue(self.registry.current.draining)
+
+    async def test_a_start_that_is_no_whole_number_is_refused(self):
+        for born in ("1000", 1.5, -1, True, None, [1]):
+            with self.subTest(born):
+                self.assertEqual(await self.beat("i-1", born=born), 400)
+        self.assertIsNone(self.registry.current)
+
+    async def test_another_writers_messages_change_nothing(self):
+        await self.beat("i-1", 1)
+        before = self.registry.current
+        path = "/Instances.Heartbeat/i-1"
+        for content in (b"", b"\xff\xfe", b"[1", b"null", b"[" * 5_000, b'{"a":1}'):
+            with self.subTest(content[:9]):
+                status, _ = await self.ask(request(path, "POST", body=content))
+                self.assertEqual(status, 400)
+        for values in (
+            heartbeat(2, "gone"),
+            heartbeat(2, info={"service": 5, "slots": 36}),
+            heartbeat(2, info={"service": "svc-b", "slots": 36}),
+            heartbeat(2, info={"service": "svc-a", "slots": "many"}),
+            heartbeat(2, status={"state": "ready", "seqNo": "x"}),
+        ):
+            status, _ = await self.post(path, values)
+            self.assertEqual(status, 400)
+        self.assertIs(self.registry.current, before)
+
     async def test_another_address_is_refused(self):
         self.assertEqual(await self.beat("i-1", address="127.0.0.1:9"), 400)
         self.assertIsNone(self.registry.current)
