--- a/platform/days/list_played.py
+++ b/deploy/list_played.py
@@ -1,6 +1,6 @@
 """Lists which days were played on which commit, and what came out.
 
-Run it as `python platform/days/list_played.py`. It reads the journal, in which
+Run it as `python deploy/list_played.py`. It reads the journal, in which
 every run on the platform's bench leaves an entry.
 """
 
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-OWN_DAYS = Path(__file__).parent
-JOURNAL = OWN_DAYS.parent.parent / "journal"
+OWN_DAYS = Path(__file__).parent / "days"
+JOURNAL = Path(__file__).parent.parent / "journal"
 COMMIT_DIGITS = 8
 CUT_SHORT = "--until"
 """Option of a run that ends before its day does, and shows no outcome."""
--- a/tests/unit/platform/test_list_played.py
+++ b/tests/unit/platform/test_list_played.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-SCRIPT = Path(__file__).parents[3] / "platform" / "days" / "list_played.py"
+SCRIPT = Path(__file__).parents[3] / "deploy" / "list_played.py"
 
 
 def load_script():
@@ -35,8 +35,8 @@
         return self.script.read_journal(self.folder)
 
     def test_the_newest_run_of_an_own_day_is_shown(self):
-        path = next(iter(sorted(SCRIPT.parent.glob("*.toml"))))
-        files = [".../site.toml", f"platform/days/{path.name}"]
+        path = next(iter(sorted(self.script.OWN_DAYS.glob("*.toml"))))
+        files = [".../site.toml", f"deploy/days/{path.name}"]
         days = self.days(
             entry("2026-01-01T00:00:00Z", files, rules={"LOST": 3}),
             entry("2026-01-02T00:00:00Z", files),
