Spend the repeats on urgent requests, and enough to end them

Cause: while all four upstreams of the deepest service turned 55 in 100 calls away, a request needed some ten repeats for its eight calls there. The least class could spend half of the budget, on requests that failed all the same; a request held three credits, of which its deep calls saw one; and a call that all four had rejected ended, though each rejects by chance.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -8,6 +8,9 @@
 
 FIRST_PAUSE_SECONDS = 0.010
 MAX_PAUSE_DOUBLINGS = 6
+MOST_REJECTED_DOUBLINGS = 1
+"""The same after a target turned a call away with slots free: there is no load
+that a longer pause would spare, and the call's life goes on."""
 LIFE_SHARE = 0.25
 EXPIRED_STATUS = 504
 AGAIN = "again"
@@ -21,7 +24,9 @@
     ----------
     made : int
     tried : set of str
-        Upstreams that had an attempt.
+        Upstreams that had an attempt and get no other.
+    rejected : set of str
+        Those of them that turned it away with slots free.
     handed_over : int
         Attempts that a target may have begun to run.
     doubtful : Answer or None
@@ -30,6 +35,7 @@
 
     made: int = 0
     tried: set[str] = field(default_factory=set)
+    rejected: set[str] = field(default_factory=set)
     handed_over: int = 0
     doubtful: Answer | None = None
 
@@ -37,10 +43,30 @@
         """Note how an attempt at an upstream ended."""
         self.made += 1
         self.tried.add(name)
+        if answer.kind is ErrorKind.TARGET_REJECTED:
+            self.rejected.add(name)
         if answer.effect is not Effect.NOT_RUN:
             self.handed_over += 1
             self.doubtful = answer
 
+    def forget_rejections(self):
+        """Let the upstreams that rejected it be chosen again.
+
+        A target that turns calls away with slots free does so to some of
+        them, whatever their standing: another attempt is as good there as
+        the first was. With four upstreams that each turn away half, one call
+        in sixteen is rejected by all, and of whole requests that make eight
+        such calls four in ten.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
+        forgotten, self.rejected = self.rejected, set()
+        self.tried -= forgotten
+        return bool(forgotten)
+
 
 @dataclass(frozen=True, slots=True)
 class RetryDecision:
@@ -115,14 +141,16 @@
                 return RetryDecision(AGAIN, self.pause(call, attempts.made))
             return RetryDecision("per-hop")
         else:
-            reason = self.objection(call, answer, account, attempts.tried)
+            reason = self.objection(call, answer, account, attempts)
         if not reason:
-            return RetryDecision(AGAIN, self.pause(call, attempts.made))
+            rejected = answer.kind is ErrorKind.TARGET_REJECTED
+            most = MOST_REJECTED_DOUBLINGS if rejected else MAX_PAUSE_DOUBLINGS
+            return RetryDecision(AGAIN, self.pause(call, attempts.made, most))
         self.stops[reason] += 1
         answer.exhausted = is_exhausted(answer, attempts.made)
         return RetryDecision(reason)
 
-    def objection(self, call, answer, account, tried):
+    def objection(self, call, answer, account, attempts):
         """Return why not to retry, or "" after paying for a retry."""
         if answer.kind is None and not failed_by_itself(answer):
             return "answered"
@@ -136,7 +164,7 @@
             return "body-streamed"
         if call.remaining() <= 0.0:
             return "expired"
-        if not self.has_other(call, tried):
+        if not self.has_another(call, attempts):
             return "no-other"
         # Checked before the ratio spends a token that no retry would use.
         if account.held < 1:
@@ -146,9 +174,16 @@
         account.spend()
         return ""
 
-    def pause(self, call, attempts):
+    def has_another(self, call, attempts):
+        """Whether an upstream would take a further attempt."""
+        if self.has_other(call, attempts.tried):
+            return True
+        again = attempts.forget_rejections()
+        return again and self.has_other(call, attempts.tried)
+
+    def pause(self, call, attempts, most_doublings=MAX_PAUSE_DOUBLINGS):
         """Return a fully jittered pause, a small share of the life left."""
-        doublings = min(attempts - 1, MAX_PAUSE_DOUBLINGS)
+        doublings = min(attempts - 1, most_doublings)
         longest = FIRST_PAUSE_SECONDS * 2**doublings
         bounded = min(longest, max(0.0, call.remaining()) * LIFE_SHARE)
         return self.random.uniform(0.0, bounded)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -15,11 +15,13 @@
 
 CLASS_SHARES = {
     Importance.CRITICAL: 1.0,
-    Importance.NORMAL: 0.9,
-    Importance.SHEDDABLE: 0.5,
+    Importance.NORMAL: 0.5,
+    Importance.SHEDDABLE: 0.2,
 }
 """Part of the budget that each class may use up. When all upstreams of a
-service fail, the many calls of the least class would else spend it all."""
+service fail, the many calls of the least class would else spend it all, each
+on a request that still fails: one that makes eight calls, half of which are
+turned away, needs eight repeats to end well."""
 
 
 @dataclass(slots=True)
