--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -2,31 +2,24 @@
 
 import asyncio
 import random
-from contextlib import suppress
 from dataclasses import dataclass, field
 
 import logbook
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
-from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.interfaces import CallHandler, RequestHandler
 from papayabay_daemon._internal.links.counters import LimitedLog, LinkCounters
+from papayabay_daemon._internal.links.dialling import Dialler, Peer
 from papayabay_daemon._internal.links.incoming import FORWARD, RUN
 from papayabay_daemon._internal.links.limits import (
-    BACKOFF_FIRST_SECONDS,
-    BACKOFF_MAX_SECONDS,
     CLOSE_SECONDS,
-    DIAL_SECONDS,
     MAX_LINKS_PER_PEER,
     MAX_PAYLOAD_BYTES,
     MAX_PEERS,
     MAX_UNPROVEN_LINKS,
-    SEEK_PAUSE_SECONDS,
-    SEEK_SECONDS,
 )
 from papayabay_daemon._internal.links.link import Link
-from papayabay_daemon._internal.links.outgoing import unavailable
 
 log = logbook.Logger("papayabay.links")
 
@@ -40,40 +33,6 @@
     topics: dict[str, RequestHandler] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Peer:
-    """What is kept of one peer.
-
-    Attributes
-    ----------
-    links : list of Link
-        Open links that take new calls, the newest last.
-    dialling : asyncio.Task or None
-        The one dial in progress.
-    failures : int
-        Dials that failed since the last success.
-    retry_at : float
-        Before this time on `clock.now()` the peer isn't dialled.
-    address : tuple
-        Where the last dial went.
-    seeking : asyncio.Task or None
-        Dials again and again a peer whose link ended in doubt.
-    """
-
-    links: list[Link] = field(default_factory=list)
-    dialling: asyncio.Task | None = None
-    failures: int = 0
-    retry_at: float = 0.0
-    address: tuple = ()
-    seeking: asyncio.Task | None = None
-
-    @property
-    def unused(self):
-        """Whether nothing would be lost by forgetting this."""
-        busy = self.links or self.dialling or self.seeking
-        return not busy and now() > self.retry_at
-
-
 class PeerLinks:
     """Links to other daemons; see `interfaces.Links`.
 
@@ -89,7 +48,7 @@
     def __init__(self, settings, local, rng=None):
         self.settings = settings
         self.local = local
-        self.rng = rng or random.Random()
+        self.dialler = Dialler(self, rng or random.Random())
         self.counters = LinkCounters()
         self.limited_log = LimitedLog(log)
         self.handlers = Handlers()
@@ -155,7 +114,7 @@
     async def send(self, peer, call, purpose):
         """Send a call on a link, a new one if need be; count it if none."""
         try:
-            link = self.live_link(peer.name) or await self.dial(peer)
+            link = self.live_link(peer.name) or await self.dialler.dial(peer)
             link.member = peer
             return await link.outgoing.call(call, purpose)
         except CallError as error:
@@ -184,7 +143,7 @@
         if len(payload) > MAX_PAYLOAD_BYTES:
             raise ProtocolError(f"payload of {len(payload)} bytes")
         try:
-            link = self.live_link(peer.name) or await self.dial(peer)
+            link = self.live_link(peer.name) or await self.dialler.dial(peer)
         except CallError as error:
             raise ProtocolError(str(error)) from None
         return await link.outgoing.request(topic, payload, timeout)
@@ -194,93 +153,6 @@
         peer = self.peers.get(name)
         return peer.links[-1] if peer is not None and peer.links else None
 
-    # Dialling.
-
-    async def dial(self, member):
-        """Return a new link; one dial per peer serves all who wait.
-
-        Raises
-        ------
-        CallError
-            LINK_UNAVAILABLE, at once while the peer is backed off from.
-        """
-        peer = self.peer_of(member.name)
-        if self.closing:
-            raise unavailable("the links are closed")
-        if peer.dialling is None:
-            address = (member.host, member.link_port)
-            if now() < peer.retry_at and address == peer.address:
-                raise unavailable(f"{member.name} could not be reached lately")
-            peer.address = address
-            dial = self.connect(member, peer)
-            peer.dialling = asyncio.get_running_loop().create_task(dial)
-        # Shielded: one caller that leaves must not end the others' dial.
-        await asyncio.wait([peer.dialling])
-        link = self.live_link(member.name)
-        if link is None:
-            raise unavailable(f"{member.name} can't be reached")
-        return link
-
-    async def connect(self, member, peer):
-        """Dial once and keep the result in the peer's entry."""
-        link = None
-        try:
-            async with asyncio.timeout(DIAL_SECONDS):
-                _, link = await asyncio.get_running_loop().create_connection(
-                    lambda: Link(self, member.name), member.host, member.link_port
-                )
-                opened = await link.opened
-        except (OSError, TimeoutError, ValueError, OverflowError):
-            # The last two come from an address that can't be one; it was
-            # gossiped, so nothing here has checked it.
-            opened = False
-        finally:
-            peer.dialling = None
-        if opened:
-            peer.failures = 0
-            peer.retry_at = 0.0
-            return
-        if link is not None:
-            link.lose("not opened in time")
-        self.counters.dials_failed += 1
-        peer.retry_at = now() + self.backoff(peer.failures)
-        peer.failures += 1
-
-    def seek(self, member):
-        """Dial a peer in the background until a link to it is open.
-
-        Its link was given up for silence. Were the doubt to end with it, calls
-        would choose the peer again and wait a second each for a link that
-        can't be had, as long as nobody has declared it dead: up to a quarter
-        of all requests of four seconds when machines lost power.
-        """
-        peer = self.peer_of(member.name)
-        if self.closing or peer.seeking is not None:
-            return
-        seeking = self.find_again(member, peer)
-        peer.seeking = asyncio.get_running_loop().create_task(seeking)
-
-    async def find_again(self, member, peer):
-        """Dial until a link is open, or for `SEEK_SECONDS`; end the doubt."""
-        until = now() + SEEK_SECONDS
-        try:
-            while self.live_link(member.name) is None and now() < until:
-                await asyncio.sleep(max(peer.retry_at - now(), SEEK_PAUSE_SECONDS))
-                with suppress(CallError):
-                    await self.dial(member)
-        finally:
-            peer.seeking = None
-        self.peer_doubted(member.name, False)
-
-    def backoff(self, failures):
-        """Return seconds until the next dial, jittered.
-
-        Without jitter all daemons that lost one peer would dial it in step
-        when it is back.
-        """
-        longest = BACKOFF_FIRST_SECONDS * 2 ** min(failures, 10)
-        return min(longest, BACKOFF_MAX_SECONDS) * self.rng.uniform(0.5, 1.0)
-
     def peer_of(self, name):
         """Return a peer's entry, made when first needed."""
         peer = self.peers.get(name)
@@ -358,7 +230,7 @@
         if link.member is None or self.live_link(link.peer_name) is not None:
             self.peer_doubted(link.peer_name, False)
         else:
-            self.seek(link.member)
+            self.dialler.seek(link.member)
 
     def on_doubt(self, callback):
         """Call back with a peer's name and whether its link is in doubt."""
