Break connections whose answer can't be written, and forget dead ones

Cause: found by reading the new connections. An answer with a header that is no text ended the task that writes it, and its client waited on; a connection to the target that ended before its dial returned was counted as open for good.

Change: any other error while an answer is written is logged and resets the connection; a dial returns no connection that has ended.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
@@ -276,6 +276,12 @@
             log.debug("answer not delivered: {!r}", error)
             self.reset()
             return
+        except Exception as error:
+            # Whatever an answer holds that can't be written, its client must
+            # not wait for it, nor take a part of it for the whole.
+            log.error("answer not written: {!r}", error)
+            self.reset()
+            return
         self.answered(exchange, response.keep_alive)
 
     def ends_with(self, exchange):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -106,6 +106,10 @@
         finally:
             self.dialling -= 1
             self.wake_one()
+        if connection.closed:
+            # It has told so already; counted as open, it would take one of
+            # the target's connections for good.
+            raise ConnectionResetError("the target closed the connection at once")
         self.open.add(connection)
         return connection
 
--- a/tests/unit/daemon/test_doors_calls.py
+++ b/tests/unit/daemon/test_doors_calls.py
@@ -238,6 +238,20 @@
                 with self.assertRaises(ConnectionResetError):
                     await exchange(door.port, request(close=False))
 
+    async def test_an_answer_that_cannot_be_written_breaks_the_connection(self):
+        """A client waited for an answer until its own time was up.
+
+        A header value that is no text can't be written; the error ended the
+        task that answers, and nobody the connection.
+        """
+
+        async def reply(incoming):
+            return Answer(200, [("X-A", "\ud800")], Body(b"ok"))
+
+        door = await self.open(FakeFlow(reply))
+        with self.assertRaises(ConnectionResetError):
+            await exchange(door.port, request(close=False))
+
     async def test_leaving_client_cancels_the_call(self):
         async def reply(incoming):
             await asyncio.Event().wait()
--- a/tests/unit/daemon/test_target_client.py
+++ b/tests/unit/daemon/test_target_client.py
@@ -2,6 +2,7 @@
 import socket
 import struct
 import unittest
+import unittest.mock
 
 from papayabay_core.calls import Body
 from papayabay_core.errors import CallError, Effect, ErrorKind
@@ -306,6 +307,29 @@
 
 
 class PoolTests(ClientTestCase):
+    async def test_connections_that_end_at_once_take_no_place(self):
+        """A target got no more calls, though it was well again.
+
+        Sequence: it resets each connection as soon as it is made, for a
+        while. Cause: connections that had ended were counted as open, until
+        there seemed to be as many as it takes.
+        """
+        self.announce(9, connections=2)
+        pool = self.client.pool_of(self.registry.current)
+        loop = asyncio.get_running_loop()
+
+        async def connect(factory, host, port):
+            connection = factory()
+            connection.connection_made(unittest.mock.Mock())
+            connection.connection_lost(None)
+            return None, connection
+
+        with unittest.mock.patch.object(loop, "create_connection", connect):
+            for _ in range(4):
+                with self.assertRaises(ConnectionResetError):
+                    await bounded(pool.connect())
+        self.assertEqual((len(pool.open), pool.dialling), (0, 0))
+
     async def test_new_incarnation_does_not_cut_off_calls_under_way(self):
         go = asyncio.Event()
 
