Count calls of repeated runs as repeats, and first attempts in the window only

Since repeats are spent to the budget's end there, two errors of its account show: calls made by a run that was itself a repeat were counted as first ones, which earned even more; and first attempts of up to half a second before the window earned repeats within it.

Change: a call carries whether it is a repeat or made by one, and is counted as what it is; only first attempts within the window earn.

That nothing else takes part is not shown yet.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -61,6 +61,8 @@
     path_key : str
         Name of the policy rule's call path; what load and service time are
         learned by, so that both stay bounded.
+    repeated : bool
+        Whether it is another attempt, or made by a run that was one.
     attempts : int
         Upstreams that may run it, 0 without a bound. Kept by the daemon that
         dispatches the call; it does not travel.
@@ -81,6 +83,7 @@
     idempotency_key: str = ""
     path_key: str = ""
     attempts: int = 0
+    repeated: bool = False
 
     @property
     def level(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -82,7 +82,10 @@
         granted = account.split()
         # Only few calls hold credits, and copying one takes as long as
         # choosing its upstream.
-        attempt = call if granted == call.credits else replace(call, credits=granted)
+        attempt = call
+        repeated = call.repeated or number > 1
+        if granted != call.credits or repeated != call.repeated:
+            attempt = replace(call, credits=granted, repeated=repeated)
         self.parts.counters.attempts += 1
         # What is known has to be read before the attempt changes it.
         log = self.parts.log
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -300,6 +300,7 @@
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
             attempts=rule.attempts,
+            repeated=parent.repeated,
         )
 
     def debit_repeat(self, live, incoming):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -72,6 +72,7 @@
     depth: Number
     credits: Number
     idempotent: bool
+    repeated: bool
     headers: bytes
     body: bytes
     last: bool
@@ -201,6 +202,7 @@
         depth=call.depth,
         credits=call.credits,
         idempotent=call.idempotent,
+        repeated=call.repeated,
         headers=pack_headers(call.headers),
         body=first,
         last=last,
@@ -240,6 +242,7 @@
         idempotent=frame.idempotent,
         idempotency_key=frame.idempotency_key,
         path_key=frame.path_key,
+        repeated=frame.repeated,
     )
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -111,8 +111,16 @@
         self.stops = Counter()
 
     def first_attempt(self, call):
-        """Note the first attempt of a call; it earns toward the ratio."""
-        self.ratio.first_attempt(call.service)
+        """Note the first attempt of a call; it earns toward the ratio.
+
+        Calls of a run that was itself a repeat are repeats, too: had the run
+        not been repeated, they would not come. Counted as first ones, they
+        took a service beyond its budget while all its upstreams failed.
+        """
+        if call.repeated:
+            self.ratio.repeated_above(call.service)
+        else:
+            self.ratio.first_attempt(call.service)
 
     def decide(self, call, answer, attempts, account):
         """Decide whether another attempt follows, and pay for it.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
@@ -55,6 +55,12 @@
         earned = retries.ratio
         bucket.tokens = min(max(BURST_TOKENS, bucket.tokens), bucket.tokens + earned)
 
+    def repeated_above(self, service):
+        """Note a call of a run that was a repeat; it earns nothing."""
+        retries = self.policy_source().retries(service)
+        if retries.window_ms is not None:
+            self.window(service).repeated(retries)
+
     def allow(self, service, importance=Importance.CRITICAL):
         """Spend a token for a repeat; return False when there is none."""
         retries = self.policy_source().retries(service)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -65,6 +65,10 @@
         """Note a first attempt."""
         self.current(retries.window_ms / 1_000).firsts += 1
 
+    def repeated(self, retries):
+        """Note a repeat that nobody here decided on."""
+        self.current(retries.window_ms / 1_000).repeats += 1
+
     def allow(self, retries, members, importance=Importance.CRITICAL):
         """Return whether one more repeat fits, and count it if so.
 
@@ -78,7 +82,10 @@
             Less important calls may not spend all of it.
         """
         current = self.current(retries.window_ms / 1_000)
-        firsts = sum(part.firsts for part in self.slices)
+        # The oldest slice may lie before the window. Its repeats count all the
+        # same and its first attempts don't: what is allowed errs downwards.
+        oldest = current.number - SLICES
+        firsts = sum(part.firsts for part in self.slices if part.number > oldest)
         repeats = sum(part.repeats for part in self.slices)
         budget = retries.ratio * firsts + retries.window_repeats / max(1, members)
         if repeats + 1 > (1.0 - SPARE_SHARE) * CLASS_SHARES[importance] * budget:
--- a/tests/unit/daemon/test_retries_rules.py
+++ b/tests/unit/daemon/test_retries_rules.py
@@ -183,6 +183,37 @@
         left = sum(ratio.allow("stock", Importance.CRITICAL) for _ in range(400))
         self.assertAlmostEqual(4 * spent, left, delta=5)
 
+    def test_calls_of_a_repeated_run_count_as_repeats(self):
+        """A service got 2,102 repeats in ten seconds where 2,071 were allowed.
+
+        Sequence: all of its upstreams turn calls away, and the budget is
+        spent to its end; services above it repeat a few runs, each of which
+        calls it again four times. Cause: those calls counted as first ones,
+        which earned even more.
+        """
+        ratio = self.ratio()
+        rules = RetryRules(windowed, ratio, random.Random(1), None)
+        for _ in range(1_000):
+            rules.first_attempt(call())
+        for _ in range(100):
+            made = call()
+            made.repeated = True
+            rules.first_attempt(made)
+        spent = sum(ratio.allow("stock") for _ in range(400))
+        self.assertLessEqual(100 + spent, 0.9 * (0.2 * 1_000 + 48))
+
+    def test_first_attempts_before_the_window_earn_nothing(self):
+        """More than the budget was spent after a burst of calls had ended.
+
+        Sequence: many calls, then few; ten seconds later a twentieth more
+        than a window was looked back on.
+        """
+        ratio = self.ratio()
+        for _ in range(1_000):
+            ratio.first_attempt("stock")
+        self.at += 10.2
+        self.assertLessEqual(sum(ratio.allow("stock") for _ in range(400)), 48)
+
     def test_without_requests_only_the_part_is_left(self):
         self.members = 4
         ratio = self.ratio()
