Let few daemons ask the store, and a starting fleet write few seeds

Change: two readers of each failure domain follow the store; they ping the others of their domain with each newer version, and the rest is done by pushes and gossip as before. A daemon that hears no peer for 1.5 periods reads for itself. A daemon that knows nobody leaves a row alone that was written within 3 s and names three seeds; rows are read again only where the scan shows that they are due.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/keeper.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/keeper.py
@@ -44,7 +44,8 @@
         self.loaded = self.state.loaded
         self.counts = self.state.counts
         count = settings.timing.config_readers_per_domain
-        self.readers = Readers(members, count, clock)
+        period = settings.timing.gossip_period_ms / 1_000
+        self.readers = Readers(members, count, clock, period)
         self.store = version_reader(settings, self.state, log, self.readers, random)
         self.puller = Puller(self.state, links, random)
         note_offer = self.puller.note_offer
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -1,9 +1,14 @@
 """Which members of a failure domain read the store."""
 
+from itertools import filterfalse
+
 from papayabay_daemon._internal.membership.seeds import pick_by_rendezvous
 
 PURPOSE = "configuration-reader"
 RENEW_SECONDS = 1.0
+SILENT_PERIODS = 1.5
+"""Gossip periods without a packet after which a daemon reads for itself. One
+that hears anybody gets an answer in each period, with the version in it."""
 
 
 class Readers:
@@ -16,11 +21,14 @@
     members : Members
     count : int
     clock : callable
+    period : float
+        Seconds of a gossip period.
     """
 
-    def __init__(self, members, count, clock):
+    def __init__(self, members, count, clock, period):
         self.members = members
         self.count = count
+        self.longest_silence = period * SILENT_PERIODS
         self.clock = clock
         self.live = None
         self.picked_at = 0.0
@@ -39,9 +47,27 @@
 
     def pick(self, live):
         """Return the readers among the live members."""
+        return pick_by_rendezvous(self.own(live), PURPOSE, self.count)
+
+    def own(self, live=None):
+        """Return the live members of the own failure domain."""
         domain = self.members.local.failure_domain
-        own = [member for member in live if member.failure_domain == domain]
-        return pick_by_rendezvous(own, PURPOSE, self.count)
+        members = self.members.live() if live is None else live
+        return [member for member in members if member.failure_domain == domain]
+
+    def followers(self):
+        """Return the members of the own domain that hear from its readers."""
+        readers = {member.name for member in self.current()}
+        return list(filterfalse(lambda member: member.name in readers, self.own()))
+
+    def must_read(self):
+        """Return whether this daemon has to read the store itself.
+
+        A daemon that is cut off from all others, and not from the store, goes
+        on serving callers. Did it wait for its readers, it would route by an
+        old version for as long as the cut lasts; its log would show no error.
+        """
+        return self.include_local() or self.members.silence() > self.longest_silence
 
     def include_local(self):
         """Return whether this daemon is one of them."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -11,9 +11,15 @@
 
 FIRST_PAUSE_SECONDS = 0.25
 LONGEST_PAUSE_SECONDS = 2.0
-"""Pauses after failed reads. At 2 s, 13,000 daemons that meet an outage ask
-6,500 times a second: beyond what the store takes, but it is down then, and a
-version written the moment it is back is wanted within seconds."""
+"""Pauses after failed reads. At 2 s, 500 readers that meet an outage ask 250
+times a second, and a version written the moment the store is back is still
+wanted within seconds."""
+SETTLE_SECONDS = 2.0
+"""How long after its first read a daemon waits before it reads on: it has met
+its domain by then, and knows whether reading falls to it."""
+RECHECK_SECONDS = 0.25
+"""How often a daemon looks whether it has to read: an eighth of the shortest
+time within which a version has to be in force."""
 log = logbook.Logger("papayabay.configuration")
 
 
@@ -40,8 +46,10 @@
 class VersionWatcher:
     """Loads the newest version, then waits for newer ones.
 
-    Every daemon watches. One that the store turns away hears of versions
-    from its peers, as with `StoreReader`.
+    Only the readers of a failure domain keep a question open at the store,
+    and tell the others of the domain at once. So the store's load grows with
+    the domains and not with the daemons: 12 questions are open where 195
+    daemons run, a tenth of the calls of a fleet of which all ask.
 
     Parameters
     ----------
@@ -49,13 +57,13 @@
     state : KeeperState
     watch : VersionWatch
     readers : Readers
-        Not used: all members read.
     random : random.Random
     """
 
     def __init__(self, settings, state, watch, readers, random):
         self.state = state
         self.watch = watch
+        self.readers = readers
         self.random = random
         self.outage = Outage(log, "configuration store")
         self.loaded = False
@@ -66,12 +74,23 @@
         await self.read(self.watch.load)
 
     async def run(self):
-        """Follow the store until cancelled."""
+        """Follow the store while it falls to this daemon, until cancelled."""
+        if self.loaded:
+            await asyncio.sleep(SETTLE_SECONDS)
         while True:
-            following = self.watch.changed if self.loaded else self.watch.load
-            if not await self.read(following):
-                await asyncio.sleep(self.pause * self.random.uniform(0.5, 1.0))
-                self.pause = min(LONGEST_PAUSE_SECONDS, self.pause * 2)
+            if self.readers.must_read():
+                await self.follow()
+            else:
+                # What is noted here of the store's changes grows old.
+                self.loaded = False
+                await asyncio.sleep(RECHECK_SECONDS)
+
+    async def follow(self):
+        """Read once, and pause when the store does not answer."""
+        following = self.watch.changed if self.loaded else self.watch.load
+        if not await self.read(following):
+            await asyncio.sleep(self.pause * self.random.uniform(0.5, 1.0))
+            self.pause = min(LONGEST_PAUSE_SECONDS, self.pause * 2)
 
     async def read(self, following):
         """Take what one read brings; return whether the store answered."""
@@ -97,6 +116,9 @@
 
     def take(self, configuration):
         """Take a version, and note that the store vouched for it."""
+        newer = configuration.version > self.state.version.held.version
         self.state.take_whole(configuration)
+        if newer:
+            self.state.members.tell_configuration(self.readers.followers())
         if configuration.version == self.state.version.held.version:
             self.state.confirm(0.0)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/hearing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/hearing.py
@@ -13,20 +13,25 @@
     detector : Detector
     apply : callable
         Takes each update.
+    clock : callable
 
     Attributes
     ----------
+    heard_at : float
+        When the last packet of another member came in.
     version_listeners : list of callable
         Called with a version above the own and who has it.
     misdirected : int
     """
 
-    def __init__(self, table, gossip, detector, apply):
+    def __init__(self, table, gossip, detector, apply, clock):
         self.table = table
         self.local = table.local
         self.gossip = gossip
         self.detector = detector
         self.apply = apply
+        self.clock = clock
+        self.heard_at = clock()
         self.version_listeners = []
         self.misdirected = 0
 
@@ -35,6 +40,7 @@
         if packet.sender == self.local.name:
             self.misdirected += 1
             return
+        self.heard_at = self.clock()
         for update in packet.updates:
             self.apply(update)
         if packet.wants_record:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
@@ -70,26 +70,51 @@
     async def join(self):
         """Return whether this daemon is in touch with a member.
 
-        One that finds no seed at all writes itself down and tries again,
-        since another may be just doing the same elsewhere.
+        One that finds no seed at all looks once more after a short random
+        wait: when a whole fleet starts at once, all find the rows empty, and
+        the few that write first spare the others their writes. Still alone,
+        it writes itself down, since another may be just doing the same.
         """
-        seeds = await self.seeds.read()
-        if seeds:
-            await self.join_any(seeds)
+        rows = await self.meet_seeds()
+        if rows is not None and not self.seeds.others(rows):
+            await self.rest()
+            rows = await self.meet_seeds()
         joined = self.table.live_count() > 1
-        if seeds is not None:
-            await self.keep_row()
+        if rows is not None and self.seeds.is_due(rows):
+            await self.keep_row(joined)
         return joined
 
-    async def keep_row(self):
-        """Keep the seed row after a short random wait.
+    async def meet_seeds(self):
+        """Read the seed rows and speak to the seeds in them.
 
-        When a whole domain starts at once, all find the row empty; the few
-        that write first then spare the others their writes.
+        Returns
+        -------
+        list of Row or None
+            None when the store fails.
         """
-        await asyncio.sleep(self.random.uniform(0, KEEP_JITTER_SECONDS))
+        rows = await self.seeds.read()
+        seeds = self.seeds.others(rows or ())
+        if seeds:
+            await self.join_any(seeds)
+        return rows
+
+    async def keep_row(self, joined):
+        """Keep the seed row.
+
+        Parameters
+        ----------
+        joined : bool
+            Those who have just met find the row of their domain short all
+            together; a random wait leaves the writing to the first.
+        """
+        if joined:
+            await self.rest()
         await self.seeds.keep()
 
+    async def rest(self):
+        """Wait for a short random time."""
+        await asyncio.sleep(self.random.uniform(0, KEEP_JITTER_SECONDS))
+
     async def join_any(self, seeds):
         """Fetch the members from one of some seeds, and meet the others.
 
@@ -137,12 +162,13 @@
         alone = self.table.live_count() == 1
         if not alone and not self.seeds.is_writer():
             return
-        seeds = await self.seeds.read()
-        strange = [seed for seed in seeds or () if self.table.get(seed.name) is None]
+        rows = await self.seeds.read()
+        others = self.seeds.others(rows or ())
+        strange = [seed for seed in others if self.table.get(seed.name) is None]
         if strange:
             await self.join_any(strange)
-        if seeds is not None:
-            await self.keep_row()
+        if rows is not None and self.seeds.is_due(rows):
+            await self.keep_row(joined=not alone)
 
     async def run_reconcile(self):
         """Even out differences with a random member now and then.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -28,6 +28,10 @@
 """Members that hear of a new target without waiting for gossip: all of a small
 fleet, in 100 bytes each. By gossip alone it takes some periods, in which a
 target that has just started stands idle."""
+TOLD_OF_VERSION = 64
+"""Members that a reader tells of a new version without waiting for gossip: all
+of a failure domain of some tens, in 60 bytes each. Further ones hear of it by
+pushes between peers and by gossip, within two periods."""
 log = logbook.Logger("papayabay.membership")
 
 
@@ -76,7 +80,9 @@
         self.detector = Detector(
             settings.timing, self.table, self.gossip, random, clock, self.apply
         )
-        self.hearing = Hearing(self.table, self.gossip, self.detector, self.apply)
+        self.hearing = Hearing(
+            self.table, self.gossip, self.detector, self.apply, clock
+        )
         self.exchange = Exchange(self.table, links, self.apply)
         self.seeds = SeedRows(vm, table, self.table)
         self.joining = Joining(
@@ -106,10 +112,25 @@
         """Call back with a version above the own and who has it."""
         self.hearing.version_listeners.append(callback)
 
+    def silence(self):
+        """Return for how many seconds no other member has been heard."""
+        return self.clock() - self.hearing.heard_at
+
     def set_configuration(self, version):
         """Set the configuration version that packets carry."""
         self.gossip.configuration = version
 
+    def tell_configuration(self, peers):
+        """Send some members the version that packets carry, now.
+
+        Parameters
+        ----------
+        peers : list of Member
+        """
+        drawn = self.random.sample(peers, min(len(peers), TOLD_OF_VERSION))
+        for peer in drawn:
+            self.detector.ping(peer, self.detector.next_sequence())
+
     def set_ports(self, link_port, status_port):
         """Set the ports that were bound; to be called before `run`."""
         self.table.change_local(link_port=link_port, status_port=status_port)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/seeds.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/seeds.py
@@ -16,6 +16,9 @@
 SEEDS_MIN = 3
 REFRESH_SECONDS = 60.0
 RENEW_SECONDS = 600.0
+FRESH_SECONDS = 3.0
+"""Age up to which a row names daemons that are just starting: longer than a
+process takes to start, and shorter than a caller waits for its answer."""
 ROWS_MAX = 200
 WRITE_TRIES = 3
 log = logbook.Logger("papayabay.membership")
@@ -69,6 +72,12 @@
     )
 
 
+def row_age(value):
+    """Return the seconds since a row was written, by the time of day."""
+    written = value.get("written_at")
+    return time.time() - (written if isinstance(written, int | float) else 0)
+
+
 class SeedRows:
     """Reads all seed rows and keeps that of the own failure domain.
 
@@ -90,16 +99,25 @@
         self.conflicts = 0
 
     async def read(self):
-        """Return the seeds of all rows, or None when the store fails."""
+        """Return all seed rows, or None when the store fails."""
         try:
             rows = await self.table.scan(PREFIX, limit=ROWS_MAX)
         except (PlatformError, TimeoutError) as error:
             return self.failed(error)
         self.outage.worked()
+        return rows
+
+    def others(self, rows):
+        """Return the seeds of some rows but for this daemon."""
         local = self.members.local.name
         seeds = [seed for row in rows for seed in parse_seeds(row.value)]
         return [seed for seed in seeds if seed.name != local]
 
+    def is_due(self, rows):
+        """Return whether the own domain's row wants to be written."""
+        values = [row.value for row in rows if row.key == self.key]
+        return self.improved(values[0] if values else {}) is not None
+
     def failed(self, error):
         """Count a failure of the store."""
         self.errors += 1
@@ -135,6 +153,8 @@
     def improved(self, value):
         """Return the row's next content, or None when it is good enough."""
         seeds = parse_seeds(value)
+        if self.is_enough_to_join(value, seeds):
+            return None
         wanted = self.wanted()
         kept = [seed for seed in seeds if seed in wanted]
         enough = len(kept) >= min(SEEDS_MIN, len(wanted))
@@ -147,6 +167,18 @@
         ]
         return {"seeds": entries, "written_at": int(time.time())}
 
+    def is_enough_to_join(self, value, seeds):
+        """Return whether one who knows nobody had better leave a row alone.
+
+        When a whole domain starts at once, all of its daemons are alone for a
+        moment. Each would write itself down, and most of these writes meet
+        each other: six calls of the store for each daemon. The few seeds that
+        were just written are starting too, and will be met at the next try.
+        """
+        alone = self.members.live_count() == 1
+        fresh = abs(row_age(value)) <= FRESH_SECONDS
+        return alone and fresh and len(self.strangers(seeds)) >= SEEDS_MIN
+
     def strangers(self, seeds):
         """Return the seeds to keep although nothing is known of them.
 
@@ -159,8 +191,7 @@
 
     def is_old(self, value, seeds, wanted):
         """Return whether a row is due to be written again."""
-        written = value.get("written_at")
-        age = time.time() - (written if isinstance(written, int | float) else 0)
+        age = row_age(value)
         # A time far ahead was written by a clock that was set back since, or
         # by somebody else; the row would never grow old.
         if abs(age) > RENEW_SECONDS or age != age:
--- a/tests/unit/daemon/test_membership_joining.py
+++ b/tests/unit/daemon/test_membership_joining.py
@@ -1,4 +1,5 @@
 import asyncio
+from collections import Counter
 from unittest import mock
 
 from papayabay_core.platform import Put
@@ -17,11 +18,25 @@
 )
 from tests.unit.daemon.membership_support import ClusterTestCase
 
+STORE_SECONDS = 0.005
+"""An answer of the store, as its operators state it."""
+
 
 class EndOfTest(Exception):
     """Ends a loop that has none."""
 
 
+def count_calls(method, name, calls):
+    """Return a method that counts its calls."""
+
+    async def counted(*args, **kwargs):
+        calls[name] += 1
+        await asyncio.sleep(STORE_SECONDS)
+        return await method(*args, **kwargs)
+
+    return counted
+
+
 class JoiningTest(ClusterTestCase):
     """How daemons find each other."""
 
@@ -105,6 +120,23 @@
         await self.all_see((a, b), 2)
         self.assertTrue(a.status()["store_reachable"])
 
+    async def test_a_domain_that_starts_at_once_asks_the_store_little(self):
+        """A restart of 195 daemons took 10 calls of the store each.
+
+        Sequence: all start within moments, find no seeds, and write
+        themselves down; most writes meet another and are tried again. Cause:
+        each wrote its row until it had met somebody, however many seeds
+        stood there already.
+        """
+        names = [f"n{number}" for number in range(24)]
+        calls = Counter()
+        for name in ("get", "scan", "write"):
+            counted = count_calls(getattr(self.table, name), name, calls)
+            setattr(self.table, name, counted)
+        nodes = await asyncio.gather(*map(self.start, names))
+        await self.all_see(nodes, len(names))
+        self.assertLessEqual(calls.total(), 4 * len(names), calls)
+
     async def test_racing_seed_writes_lose_nobody(self):
         """One of two daemons that started together was never found.
 
