Keep the budget of repeats at the callees' daemons

Cause: each daemon kept its part of a service's budget as a caller. Requests of a lesser class that stand with the critical ones spent a third of the critical ones' repeats, and the least class could use a fifth of the budget even where nobody else wanted it.

Change: the daemon beside a target counts what arrives there, first or not, and refuses repeats beyond its part before the target sees them; those who call no longer count where policy sets a window. Attempts that no target saw are no arrivals. The class by policy travels with a call, and pays for its repeats. Lesser classes keep to the pace at which the budget comes back, in place of fixed parts. A daemon that has just started grants none of the floor for one window, as it doesn't know what the one before it let through.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -45,7 +45,7 @@
         End-to-end headers, in order, names as they came.
     body : Body
     importance : Importance
-        Fixed at the entry from policy.
+        Fixed at the entry; how the call stands wherever some are refused.
     rank : int
         Stable per-request rank in [0, RANKS); the lower is kept longer.
     depth : int
@@ -63,6 +63,9 @@
         learned by, so that both stay bounded.
     repeated : bool
         Whether it is another attempt, or made by a run that was one.
+    declared : Importance or None
+        The class that policy gives it, where it stands with a better one;
+        see `standing_of`.
     attempts : int
         Upstreams that may run it, 0 without a bound. Kept by the daemon that
         dispatches the call; it does not travel.
@@ -84,6 +87,16 @@
     path_key: str = ""
     attempts: int = 0
     repeated: bool = False
+    declared: Importance | None = None
+
+    @property
+    def own_class(self):
+        """The class by policy, however the call stands in lines.
+
+        Those that are kept from a lesser class are let in with the critical
+        ones, but what is scarce beyond a slot goes to critical ones first.
+        """
+        return self.importance if self.declared is None else self.declared
 
     @property
     def level(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -197,7 +197,9 @@
             self.slot_limit.pushed_back(self.in_flight + 1, now)
         elif answer is not None and answer.kind is None:
             weight = self.times.relative(ticket.call.path_key)
-            self.slot_limit.finished(weight, bool(self.scheme.line.live), now)
+            usual_s = self.times.overall.mean
+            waiting = bool(self.scheme.line.live)
+            self.slot_limit.finished(weight, waiting, usual_s, now)
         self.scheme.finished(elapsed, answer, now)
         if self.scheme.line.live:
             self.dispatch(now)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_limit.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_limit.py
@@ -46,10 +46,10 @@
             return usable
         return max(1, int(usable * self.ramp(now) * self.grown_share(now)))
 
-    def finished(self, weight, waiting, now):
+    def finished(self, weight, waiting, usual_s, now):
         """Note that a call was answered; see `SlotSearch.finished`."""
         if self.searching and now >= self.warm_at and self.share >= 1.0:
-            self.search.finished(weight, waiting, now)
+            self.search.finished(weight, waiting, usual_s, now)
 
     def pushed_back(self, running, now):
         """Lower the limit: the target shed a call or was unreachable.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_search.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_search.py
@@ -4,26 +4,32 @@
 long beyond 95 in 100 of its slots finishes a fifth more with two of 26 slots
 left free. No target tells of it, and how full is too full differs. So a daemon
 tries: while calls wait, it hands over a little less than all slots allow for a
-moment, and keeps to what finished most.
+while, and keeps to what finished most. How long is counted in finished calls
+and in their usual length: a target that works on each for a quarter of a
+second finishes in a second what another does in a tenth.
 """
 
 SHARES = (1.0, 0.94, 0.88, 0.8)
 """Parts of the slots that are tried, each from the one beside it. A slow-down
 sets in late where there is one; of ten slots a step is about one."""
-WINDOW_S = 0.3
-"""How long a part is tried, seconds of a full line: 140 calls of 55 ms at 26
-slots, 36 of 90 ms at 11."""
-SETTLE_S = 0.1
-"""Left out at the beginning of a window, where calls of the one before end."""
-TRY_AGAIN_S = 4.0
-"""Age at which what is known of a neighbour is looked at anew."""
+WINDOW_CALLS = 100
+"""Calls finished in the time that a part is tried. Their number scatters by 4
+in 100 where single times differ by half, so that two or three windows tell
+apart what `LEAST_GAIN` asks for. Fixed windows of 0.3 s held 19 calls of a
+quarter of a second at 15 slots, and finished 1.5 in 100 less."""
+SETTLE_LENGTHS = 2.0
+"""Usual lengths of a call that are left out at the beginning of a window,
+where calls of the one before end."""
+TRY_AGAIN_WINDOWS = 12
+"""Age, in windows, at which what is known of a neighbour is looked at anew: a
+sixth of the time goes into looking."""
 WEIGHT = 0.4
-"""Of the latest window. Two or three of them tell a fifth apart from the noise
-of 40 calls, whose times differ by half."""
+"""Of the latest window."""
 LEAST_GAIN = 1.06
 """How much more a smaller part must finish to be preferred."""
-SLACK_S = 0.02
-"""Time without anybody waiting that ends a window: slots weren't the bound."""
+SLACK_LENGTHS = 0.3
+"""Time without anybody waiting, in usual lengths of a call, that ends a
+window: slots weren't the bound."""
 
 
 class SlotSearch:
@@ -40,22 +46,23 @@
     """
 
     def __init__(self):
+        self.forget()
+
+    def forget(self):
+        """Start anew, as for another target."""
         self.step = self.best = 0
         self.rates = [None] * len(SHARES)
         self.known_at = [0.0] * len(SHARES)
         self.begun_at = None
         self.busy_at = 0.0
         self.done = 0.0
-
-    def forget(self):
-        """Start anew, as for another target."""
-        self.__init__()
+        self.calls = 0
 
     def slots(self, announced):
         """Return how many of the announced slots may be used."""
         return max(1, int(announced * SHARES[self.step]))
 
-    def finished(self, weight, waiting, now):
+    def finished(self, weight, waiting, usual_s, now):
         """Note an ended call.
 
         Parameters
@@ -64,38 +71,42 @@
             Its usual length, in shares of the usual length of all calls.
         waiting : bool
             Whether others wait for its slot.
+        usual_s : float
+            The usual length of all calls, seconds.
         now : float
         """
         if not waiting:
-            if now - self.busy_at > SLACK_S:
+            if now - self.busy_at > SLACK_LENGTHS * usual_s:
                 self.begun_at = None
             return
         self.busy_at = now
         if self.begun_at is None:
-            self.begin(now)
-        elif now < self.begun_at + SETTLE_S:
-            return
-        elif now >= self.begun_at + SETTLE_S + WINDOW_S:
-            self.end(now)
-        else:
+            self.begin(now, usual_s)
+        elif now >= self.begun_at:
             self.done += weight
+            self.calls += 1
+            if self.calls >= WINDOW_CALLS:
+                self.end(now, usual_s)
 
-    def begin(self, now):
-        """Begin a window."""
-        self.begun_at = now
+    def begin(self, now, usual_s):
+        """Begin a window, once the calls of the one before have ended."""
+        self.begun_at = now + SETTLE_LENGTHS * usual_s
         self.done = 0.0
+        self.calls = 0
 
-    def end(self, now):
+    def end(self, now, usual_s):
         """Learn from a window, and choose the next part."""
-        rate = self.done / (now - self.begun_at - SETTLE_S)
+        length_s = now - self.begun_at
+        rate = self.done / length_s
         known = self.rates[self.step]
         self.rates[self.step] = (
             rate if known is None else known + WEIGHT * (rate - known)
         )
         self.known_at[self.step] = now
         self.best = self.better()
-        self.step = self.next_step(now)
-        self.begin(now)
+        old_at = now - TRY_AGAIN_WINDOWS * (length_s + SETTLE_LENGTHS * usual_s)
+        self.step = self.next_step(old_at)
+        self.begin(now, usual_s)
 
     def better(self):
         """Return the step that finishes most; a larger part if alike."""
@@ -105,11 +116,11 @@
                 best = step
         return best
 
-    def next_step(self, now):
-        """Return a neighbour of which little is known, else the best."""
+    def next_step(self, old_at):
+        """Return a neighbour not looked at since a time, else the best."""
         for step in (self.best + 1, self.best - 1):
             if not 0 <= step < len(SHARES):
                 continue
-            if self.rates[step] is None or now - self.known_at[step] > TRY_AGAIN_S:
+            if self.rates[step] is None or self.known_at[step] < old_at:
                 return step
         return self.best
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -48,7 +48,7 @@
             except CallError as error:
                 answer = self.no_more_upstreams(call, error, answer)
                 return whole_truth(answer, attempts.doubtful)
-            answer = await self.attempt(member, call, account, attempts.made + 1)
+            answer = await self.attempt(member, call, account, attempts)
             attempts.ended(member.name, answer)
             decision = self.retries.decide(call, answer, attempts, account)
             self.note_end(call, answer, decision)
@@ -77,13 +77,22 @@
         refused.exhausted = True
         return refused
 
-    async def attempt(self, member, call, account, number):
-        """Send one attempt and settle its credits and the router's books."""
+    async def attempt(self, member, call, account, before):
+        """Send one attempt and settle its credits and the router's books.
+
+        Parameters
+        ----------
+        member : Member
+        call : Call
+        account : CreditAccount
+        before : Attempts
+            Those made before.
+        """
         granted = account.split()
         # Only few calls hold credits, and copying one takes as long as
         # choosing its upstream.
         attempt = call
-        repeated = call.repeated or number > 1
+        repeated = call.repeated or before.arrived
         if granted != call.credits or repeated != call.repeated:
             attempt = replace(call, credits=granted, repeated=repeated)
         self.parts.counters.attempts += 1
@@ -101,7 +110,7 @@
             elapsed = now() - started
             self.parts.router.ended(member, call, answer, elapsed)
             self.parts.latencies.attempt_ended(call.path_key, answer, elapsed)
-            log.attempt(call, number, known, answer, elapsed)
+            log.attempt(call, before.made + 1, known, answer, elapsed)
         account.give_back(min(answer.credits_left, granted))
         return answer
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -227,6 +227,7 @@
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
             attempts=rule.attempts,
+            declared=None if importance is rule.importance else rule.importance,
         )
 
     def count(self, rule, answer, elapsed):
@@ -301,6 +302,7 @@
             path_key=rule.path_key,
             attempts=rule.attempts,
             repeated=parent.repeated,
+            declared=parent.declared,
         )
 
     def debit_repeat(self, live, incoming):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -13,10 +13,12 @@
     parts : Parts
     tree : CallTree
     chains : ChainModel
+    budget : ArrivalBudget
     """
 
-    def __init__(self, parts, tree, chains):
+    def __init__(self, parts, tree, chains, budget):
         self.parts = parts
+        self.budget = budget
         self.tree = tree
         self.chains = chains
 
@@ -39,7 +41,8 @@
             call.rank = per_hop_rank(self.parts.random)
         try:
             self.check_service(call)
-            ticket = await self.parts.admission.admit(call)
+            self.budget.take(call)
+            ticket = await self.admit(call)
         except CallError as error:
             load = self.parts.admission.load(call.path_key)
             self.parts.log.note(
@@ -57,6 +60,14 @@
             return error_answer(error, call.credits, load)
         return await self.hand_over(call, ticket)
 
+    async def admit(self, call):
+        """Wait for a slot; a call that gets none has not arrived."""
+        try:
+            return await self.parts.admission.admit(call)
+        except BaseException:
+            self.budget.give_back(call)
+            raise
+
     def check_service(self, call):
         """Refuse a call that the target beside this daemon doesn't serve.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -56,6 +56,8 @@
         Whether all of the body is in this frame.
     purpose : int
         0 to run it, 1 to forward it to the key's home.
+    declared : int or None
+        Place in `IMPORTANCES` of the class by policy, where it is another.
     """
 
     id: Identifier
@@ -77,6 +79,7 @@
     body: bytes
     last: bool
     purpose: int
+    declared: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] | None = None
 
 
 class LoadFrame(msgspec.Struct, array_like=True):
@@ -207,6 +210,7 @@
         body=first,
         last=last,
         purpose=purpose,
+        declared=None if call.declared is None else int(call.declared),
     )
     try:
         return encode(frame)
@@ -243,6 +247,7 @@
         idempotency_key=frame.idempotency_key,
         path_key=frame.path_key,
         repeated=frame.repeated,
+        declared=None if frame.declared is None else IMPORTANCES[frame.declared],
     )
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -100,6 +100,15 @@
         """Return the live, not leaving members that announce a service."""
         return self.table.upstreams(service)
 
+    def known_upstreams(self, service):
+        """Return how many members announce a service, or did until lately.
+
+        The dead count too: a daemon that is merely cut off goes on spending
+        its part of what all share.
+        """
+        members = self.table.members.values()
+        return sum(member.service == service for member in members)
+
     def live(self):
         """Return all members that are not dead, this daemon too."""
         return self.table.live()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/__init__.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/__init__.py
@@ -1,5 +1,6 @@
 """Who may repeat a call, and how often over the whole call tree."""
 
+from papayabay_daemon._internal.retries.arrivals import ArrivalBudget
 from papayabay_daemon._internal.retries.credits import CreditAccount
 from papayabay_daemon._internal.retries.decision import (
     AGAIN,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "AGAIN",
+    "ArrivalBudget",
     "Attempts",
     "CreditAccount",
     "KeyAccounts",
--- /dev/null
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -0,0 +1,90 @@
+"""Bounds the repeats that reach the target beside this daemon."""
+
+from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.retries.window import RepeatWindow
+
+COUNT_SECONDS = 1.0
+"""How long a count of the daemons that share a budget is taken for true."""
+
+
+class ArrivalBudget:
+    """The part that one daemon has in a service's budget for repeats.
+
+    All daemons together may let a share of a service's requests reach it a
+    second time. The daemons beside the service's targets keep to that: every
+    arrival passes one of them, and they are few. Kept by those who call, the
+    budget lay in as many parts as there are callers: of 213 repeats for 195
+    daemons each had less than one, and a service whose calls come from
+    everywhere, three a second from each, got none at all.
+
+    Parameters
+    ----------
+    policy_source : callable
+        Returns the `Policy` in force.
+    sharers : callable
+        Takes a service; returns how many daemons there are beside its
+        targets, or were until lately.
+    clock : callable
+        Seconds.
+
+    Attributes
+    ----------
+    counters : dict of str to int
+    """
+
+    def __init__(self, policy_source, sharers, clock=now):
+        self.policy_source = policy_source
+        self.sharers = sharers
+        self.clock = clock
+        self.service = ""
+        self.window = None
+        self.counted = 1
+        self.counted_at = float("-inf")
+        self.counters = {"arrived": 0, "refused": 0}
+
+    def take(self, call):
+        """Count a call on its way to the target.
+
+        Raises
+        ------
+        CallError
+            RETRIES_SPENT for a repeat that is beyond the budget.
+        """
+        retries = self.policy_source().retries(call.service)
+        if retries.window_ms is None:
+            return
+        window = self.window_of(call.service)
+        if not call.repeated:
+            window.first_attempt(retries)
+        elif window.allow(retries, self.count(call.service), call.own_class):
+            self.counters["arrived"] += 1
+        else:
+            self.counters["refused"] += 1
+            raise CallError(ErrorKind.RETRIES_SPENT, "the service's budget is spent")
+
+    def give_back(self, call):
+        """Take a call off the account that did not reach the target.
+
+        Only repeats: a first attempt that is refused is a request for the
+        service all the same.
+        """
+        if call.repeated and self.window is not None:
+            self.window.give_back()
+            self.counters["arrived"] -= 1
+
+    def window_of(self, service):
+        """Return the account of the service that the target offers now."""
+        if self.service != service:
+            self.service = service
+            self.window = RepeatWindow(self.clock)
+            self.counted_at = float("-inf")
+        return self.window
+
+    def count(self, service):
+        """Return how many daemons share the budget, this one too."""
+        at = self.clock()
+        if at - self.counted_at > COUNT_SECONDS:
+            self.counted_at = at
+            self.counted = max(1, self.sharers(service))
+        return self.counted
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -14,6 +14,19 @@
 LIFE_SHARE = 0.25
 EXPIRED_STATUS = 504
 AGAIN = "again"
+KEPT_FROM_TARGET = frozenset(
+    {
+        ErrorKind.OVERLOADED,
+        ErrorKind.LEAVING,
+        ErrorKind.TARGET_UNREACHABLE,
+        ErrorKind.RETRIES_SPENT,
+        ErrorKind.LIFETIME_TOO_SHORT,
+        ErrorKind.EXPIRED_UNSENT,
+        ErrorKind.LINK_UNAVAILABLE,
+    }
+)
+"""Ends of attempts of which the target saw nothing. Another attempt is the
+first to arrive, and takes nothing from what its service bears of repeats."""
 
 
 @dataclass(slots=True)
@@ -27,6 +40,8 @@
         Upstreams that had an attempt and get no other.
     rejected : set of str
         Those of them that turned it away with slots free.
+    arrived : bool
+        Whether any of them reached a target, be it to be turned away.
     handed_over : int
         Attempts that a target may have begun to run.
     doubtful : Answer or None
@@ -36,6 +51,7 @@
     made: int = 0
     tried: set[str] = field(default_factory=set)
     rejected: set[str] = field(default_factory=set)
+    arrived: bool = False
     handed_over: int = 0
     doubtful: Answer | None = None
 
@@ -43,6 +59,7 @@
         """Note how an attempt at an upstream ended."""
         self.made += 1
         self.tried.add(name)
+        self.arrived |= answer.kind not in KEPT_FROM_TARGET
         if answer.kind is ErrorKind.TARGET_REJECTED:
             self.rejected.add(name)
         if answer.effect is not Effect.NOT_RUN:
@@ -113,13 +130,10 @@
     def first_attempt(self, call):
         """Note the first attempt of a call; it earns toward the ratio.
 
-        Calls of a run that was itself a repeat are repeats, too: had the run
-        not been repeated, they would not come. Counted as first ones, they
-        took a service beyond its budget while all its upstreams failed.
+        Calls of a run that was itself a repeat earn nothing: had the run not
+        been repeated, they would not come.
         """
-        if call.repeated:
-            self.ratio.repeated_above(call.service)
-        else:
+        if not call.repeated:
             self.ratio.first_attempt(call.service)
 
     def decide(self, call, answer, attempts, account):
@@ -177,7 +191,7 @@
         # Checked before the ratio spends a token that no retry would use.
         if account.held < 1:
             return "no-credit"
-        if not self.ratio.allow(call.service, call.importance):
+        if not self.ratio.allow(call.service):
             return "ratio"
         account.spend()
         return ""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -1,4 +1,4 @@
-"""Repeats of one service in a sliding window, within a share of a budget."""
+"""Repeats of one service in a sliding window, within a part of a budget."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -15,13 +15,14 @@
 
 CLASS_SHARES = {
     Importance.CRITICAL: 1.0,
-    Importance.NORMAL: 0.5,
-    Importance.SHEDDABLE: 0.2,
+    Importance.NORMAL: 0.9,
+    Importance.SHEDDABLE: 0.8,
 }
-"""Part of the budget that each class may use up. When all upstreams of a
-service fail, the many calls of the least class would else spend it all, each
-on a request that still fails: one that makes eight calls, half of which are
-turned away, needs eight repeats to end well."""
+"""Part of the budget that each class may use up, so that critical calls that
+come when all of it was wanted by others find some."""
+PACE_SLICES = 4
+"""Slices over which lesser classes are kept to the pace at which the budget
+comes back: two seconds of ten, long enough for one of ten repeats a window."""
 
 
 @dataclass(slots=True)
@@ -34,13 +35,13 @@
 
 
 class RepeatWindow:
-    """First attempts and repeats of one service at this daemon.
+    """First attempts and repeats of one service that come to this daemon.
 
-    All daemons together may repeat a share of the first attempts in any
-    window, and so many times more. Each keeps to that share of its own first
-    attempts and an equal part of the rest, which adds up under any load and
-    needs no message. A bucket would not do: it lets through, in one window,
-    what it has saved in earlier ones.
+    All daemons together may let a share of the first attempts be repeated in
+    any window, and so many repeats more. Each keeps to that share of the first
+    attempts that come to it and an equal part of the rest, which adds up under
+    any load and needs no message. A bucket would not do: it lets through, in
+    one window, what it has saved in earlier ones.
 
     Parameters
     ----------
@@ -50,6 +51,7 @@
 
     def __init__(self, clock):
         self.clock = clock
+        self.begun_at = clock()
         self.slices = deque()
 
     def current(self, window_s):
@@ -65,9 +67,10 @@
         """Note a first attempt."""
         self.current(retries.window_ms / 1_000).firsts += 1
 
-    def repeated(self, retries):
-        """Note a repeat that nobody here decided on."""
-        self.current(retries.window_ms / 1_000).repeats += 1
+    def give_back(self):
+        """Take the latest repeat off the account."""
+        if self.slices:
+            self.slices[-1].repeats -= 1
 
     def allow(self, retries, members, importance=Importance.CRITICAL):
         """Return whether one more repeat fits, and count it if so.
@@ -81,14 +84,36 @@
         importance : Importance
             Less important calls may not spend all of it.
         """
-        current = self.current(retries.window_ms / 1_000)
+        window_s = retries.window_ms / 1_000
+        current = self.current(window_s)
         # The oldest slice may lie before the window. Its repeats count all the
         # same and its first attempts don't: what is allowed errs downwards.
         oldest = current.number - SLICES
         firsts = sum(part.firsts for part in self.slices if part.number > oldest)
         repeats = sum(part.repeats for part in self.slices)
-        budget = retries.ratio * firsts + retries.window_repeats / max(1, members)
-        if repeats + 1 > (1.0 - SPARE_SHARE) * CLASS_SHARES[importance] * budget:
+        budget = retries.ratio * firsts
+        # A process that has just started doesn't know what the one before it
+        # let through, nor yet how many others there are.
+        if self.clock() - self.begun_at >= window_s:
+            budget += retries.window_repeats / max(1, members)
+        budget *= 1.0 - SPARE_SHARE
+        if repeats + 1 > CLASS_SHARES[importance] * budget:
+            return False
+        if importance is not Importance.CRITICAL and self.outpaces(current, budget):
             return False
         current.repeats += 1
         return True
+
+    def outpaces(self, current, budget):
+        """Return whether the budget is used up faster than it comes back.
+
+        When all upstreams of a service fail, the many calls of the least
+        class would spend the budget of a whole window within a second, each
+        on a request that still fails: one that makes eight calls, half of
+        which are turned away, needs eight repeats to end well. Critical calls
+        that repeat use up this pace by themselves, and lesser ones then stand
+        back; while none do, nothing is left idle for them.
+        """
+        since = current.number - PACE_SLICES
+        latest = sum(part.repeats for part in self.slices if part.number > since)
+        return latest + 1 > max(1.0, budget * PACE_SLICES / SLICES)
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -22,7 +22,12 @@
 from papayabay_daemon._internal.metrics.latencies import Latencies
 from papayabay_daemon._internal.metrics.objectives import ObjectiveCounters
 from papayabay_daemon._internal.metrics.sender import MetricsSender
-from papayabay_daemon._internal.retries import KeyAccounts, RetryRatio, RetryRules
+from papayabay_daemon._internal.retries import (
+    ArrivalBudget,
+    KeyAccounts,
+    RetryRatio,
+    RetryRules,
+)
 from papayabay_daemon._internal.routing import RoutingTable
 from papayabay_daemon._internal.status.counters import counter_sources
 from papayabay_daemon._internal.status.routes import StatusRoutes
@@ -90,7 +95,7 @@
         self.router = RoutingTable(self.membership, self.policy, self.random)
         self.retries = RetryRules(
             self.policy,
-            RetryRatio(self.policy, members=self.known_members),
+            RetryRatio(self.policy),
             self.random,
             self.router.has_other,
         )
@@ -121,7 +126,8 @@
         self.tree = CallTree()
         chains = ChainModel(self.router)
         self.admission.ask_below(chains.closed_paths)
-        receiver = Receiver(self.parts, self.tree, chains)
+        self.arrivals = ArrivalBudget(self.policy, self.membership.known_upstreams)
+        receiver = Receiver(self.parts, self.tree, chains, self.arrivals)
         dispatcher = Dispatcher(self.parts, receiver, self.retries)
         self.gate = IdempotencyGate(
             self.settings,
@@ -186,14 +192,6 @@
         """Return the policy in force."""
         return self.keeper.policy
 
-    def known_members(self):
-        """Return how many daemons there are, or were until lately.
-
-        The dead count too: a daemon that is merely cut off goes on spending
-        its part of what all share.
-        """
-        return len(self.membership.table.members)
-
     def admission_inputs(self):
         """Return what admission is configured by now."""
         policy = self.policy()
--- a/tests/unit/daemon/links_support.py
+++ b/tests/unit/daemon/links_support.py
@@ -45,6 +45,8 @@
         idempotent=False,
         idempotency_key="k",
         path_key="p",
+        repeated=True,
+        declared=Importance.NORMAL,
     )
 
 
--- /dev/null
+++ b/tests/unit/daemon/test_arrival_budget.py
@@ -0,0 +1,293 @@
+"""Repeats of a service within one budget, kept by the callees' daemons."""
+
+import random
+import unittest
+
+from papayabay_core.calls import Answer, Body, Call
+from papayabay_core.errors import ERROR_ANSWERS, CallError, ErrorKind
+from papayabay_core.importance import Importance
+from papayabay_core.policy import Policy
+from papayabay_core.policy.document import validate_policy
+from papayabay_daemon._internal.retries import ArrivalBudget, Attempts
+
+WINDOW_S = 10.0
+RATIO = 0.2
+WINDOW_REPEATS = 48
+
+
+def windowed(**changes):
+    retries = {
+        "ratio": RATIO,
+        "window_ms": int(WINDOW_S * 1_000),
+        "window_repeats": WINDOW_REPEATS,
+    }
+    values = {"services": {"stock": {"retries": retries | changes}}}
+    return Policy(validate_policy(values, "test"))
+
+
+def call(repeated=False, importance=Importance.CRITICAL):
+    return Call(
+        "id", "stock", "GET", "/", [], Body(), importance, 7, 0, 1e9, 3,
+        repeated=repeated,
+    )  # fmt: skip
+
+
+class BudgetCase(unittest.TestCase):
+    def setUp(self):
+        self.at = 100.0
+        self.sharers = 16
+
+    def budget(self, **changes):
+        policy = windowed(**changes)
+        budget = ArrivalBudget(
+            lambda: policy, lambda service: self.sharers, lambda: self.at
+        )
+        budget.window_of("stock")
+        return budget
+
+    def warm(self, **changes):
+        """Return the budget of a daemon that has run for a while."""
+        budget = self.budget(**changes)
+        self.at += WINDOW_S
+        return budget
+
+    def firsts(self, budget, count):
+        for _ in range(count):
+            budget.take(call())
+
+    def allowed(self, budget, tries, importance=Importance.CRITICAL):
+        return sum(self.allow(budget, importance) for _ in range(tries))
+
+    def allow(self, budget, importance=Importance.CRITICAL):
+        try:
+            budget.take(call(repeated=True, importance=importance))
+        except CallError as error:
+            self.assertEqual(error.kind, ErrorKind.RETRIES_SPENT)
+            return False
+        return True
+
+
+class WindowTests(BudgetCase):
+    def test_parts_of_all_daemons_add_up_to_no_more_than_the_budget(self):
+        daemons = [self.budget() for _ in range(self.sharers)]
+        self.at += WINDOW_S
+        for number, daemon in enumerate(daemons):
+            self.firsts(daemon, 10 * number)
+        firsts = sum(10 * number for number in range(self.sharers))
+        repeats = sum(self.allowed(daemon, 400) for daemon in daemons)
+        self.assertLessEqual(repeats, 0.2 * firsts + 48)
+        self.assertGreater(repeats, 0.7 * (0.2 * firsts + 48))
+
+    def test_nothing_is_saved_for_a_later_window(self):
+        """A service got more repeats at once than its callers could cause.
+
+        Calm minutes had filled a bucket; when an upstream failed, all of it
+        was spent within a second.
+        """
+        budget = self.warm()
+        for _ in range(1_000):
+            self.firsts(budget, 1)
+            self.at += 0.1
+        spent = self.allowed(budget, 500)
+        self.assertLessEqual(spent, 0.2 * 105 + 3)
+        self.at += 5.0
+        self.assertFalse(self.allow(budget))
+        self.at += 6.0
+        self.assertTrue(self.allow(budget))
+
+    def test_the_least_class_leaves_a_part_to_the_others(self):
+        """Queries failed although the budget had been there for them.
+
+        All upstreams of a service failed half of their calls; look-ups, six
+        times as many, had spent the budget on calls of which one in ten
+        requests could still complete.
+        """
+        budget = self.warm()
+        self.firsts(budget, 1_000)
+        spent = self.allowed(budget, 400, Importance.SHEDDABLE)
+        left = self.allowed(budget, 400, Importance.CRITICAL)
+        self.assertAlmostEqual(4 * spent, left, delta=5)
+
+    def test_the_least_class_may_use_what_nobody_else_wants(self):
+        """Look-ups failed for lost answers while the budget lay idle.
+
+        A quarter of a service's answers got lost. Its critical calls can't be
+        repeated, as their effect is unknown; look-ups could, and were held to
+        a fifth of a budget that nobody else drew on.
+        """
+        budget = self.warm()
+        repeats = 0
+        for _ in range(int(2 * WINDOW_S * 100)):
+            self.firsts(budget, 1)
+            repeats += self.allow(budget, Importance.SHEDDABLE)
+            self.at += 0.01
+        self.assertGreater(repeats, 0.6 * 2 * 0.9 * (0.2 * 1_000 + 3))
+
+    def test_the_least_class_stands_back_while_critical_calls_repeat(self):
+        """Orders failed for repeats that look-ups had used.
+
+        All upstreams turn half of their calls away, so that critical calls
+        alone want more than the budget. Cause: each class had a part of its
+        own, whether the others wanted it or not.
+        """
+        budget = self.warm()
+        self.firsts(budget, 1_000)
+        spent = 0
+        for _ in range(40):
+            self.at += 0.1
+            self.allowed(budget, 10)
+            spent += self.allowed(budget, 10, Importance.SHEDDABLE)
+        self.assertLessEqual(spent, 0.1 * 0.2 * 1_000)
+
+    def test_calls_that_are_kept_repeat_as_their_own_class(self):
+        """A third of the critical calls' repeats went to look-ups.
+
+        Sequence: a part of every class stands with the critical calls, so
+        that none is refused whole. Cause: the class by policy didn't travel.
+        """
+        budget = self.warm()
+        self.firsts(budget, 1_000)
+        kept = call(repeated=True)
+        kept.declared = Importance.SHEDDABLE
+        with self.assertRaises(CallError):
+            for _ in range(400):
+                budget.take(kept)
+        spent = budget.counters["arrived"]
+        self.assertLessEqual(spent, 0.2 * (0.2 * 1_000 + 3))
+
+    def test_calls_of_a_repeated_run_count_as_repeats(self):
+        """A service got 2,102 repeats in ten seconds where 2,071 were allowed.
+
+        Sequence: all of its upstreams turn calls away, and the budget is
+        spent to its end; services above it repeat a few runs, each of which
+        calls it again four times. Cause: those calls counted as first ones,
+        which earned even more.
+        """
+        budget = self.warm()
+        self.firsts(budget, 1_000)
+        below = self.allowed(budget, 100)
+        spent = self.allowed(budget, 400)
+        self.assertEqual(below, 100)
+        self.assertLessEqual(below + spent, 0.9 * (0.2 * 1_000 + 48))
+
+    def test_first_attempts_before_the_window_earn_nothing(self):
+        """More than the budget was spent after a burst of calls had ended.
+
+        Sequence: many calls, then few; ten seconds later a twentieth more
+        than a window was looked back on.
+        """
+        budget = self.warm()
+        self.firsts(budget, 1_000)
+        self.at += 10.2
+        self.assertLessEqual(self.allowed(budget, 400), 48)
+
+    def test_without_requests_only_the_part_is_left(self):
+        self.sharers = 4
+        self.assertEqual(self.allowed(self.warm(), 99), 10)
+
+    def test_a_restart_does_not_grant_the_part_twice(self):
+        """A service got its floor of repeats once more after each restart.
+
+        Sequence: a daemon lets its part through and is killed; the one that
+        follows knows neither that nor how many daemons there are. Cause: an
+        account that begins empty looks like one that has spent nothing.
+        """
+        self.sharers = 1
+        budget = self.budget()
+        self.assertEqual(self.allowed(budget, 99), 0)
+        self.firsts(budget, 100)
+        self.assertEqual(self.allowed(budget, 99), 18)
+        self.at += WINDOW_S + 1
+        self.assertEqual(self.allowed(budget, 99), 43)
+
+    def test_a_repeat_that_gets_no_slot_is_given_back(self):
+        self.sharers = 4
+        budget = self.warm()
+        for _ in range(99):
+            budget.take(call(repeated=True))
+            budget.give_back(call(repeated=True))
+        self.assertEqual(self.allowed(budget, 99), 10)
+        self.assertEqual(budget.counters["arrived"], 10)
+
+    def test_without_a_window_nothing_is_counted(self):
+        policy = Policy()
+        budget = ArrivalBudget(lambda: policy, lambda service: 1, lambda: self.at)
+        self.assertEqual(self.allowed(budget, 99), 99)
+
+
+class FleetTests(BudgetCase):
+    """Load: all targets of a service turn half of its calls away.
+
+    195 daemons send it 0.7 calls a second each, 11 daemons stand beside its
+    targets, and the fleet may repeat 0.2 of the calls and 213 in ten seconds:
+    the figures of the largest deployment known. A caller's own part would be
+    a seventh of a call a second and 1.1 repeats, of which a tenth is spared.
+    """
+
+    CALLERS, TARGETS = 195, 11
+    RATE = 0.7
+    TURNED_AWAY = 0.55
+
+    def play(self, seconds):
+        """Return the share that is served, and all repeats by time."""
+        rng = random.Random(11)
+        self.sharers = self.TARGETS
+        daemons = [self.budget(window_repeats=213) for _ in range(self.TARGETS)]
+        self.at += WINDOW_S
+        firsts, repeats, served = [], [], 0
+        end = self.at + seconds
+        while self.at < end:
+            self.at += rng.expovariate(self.CALLERS * self.RATE)
+            firsts.append(self.at)
+            served += self.request(rng, daemons, repeats)
+        return served / len(firsts), firsts, repeats
+
+    def request(self, rng, daemons, repeats):
+        """Return whether a call is served within four attempts."""
+        left = list(daemons)
+        rng.shuffle(left)
+        for number in range(4):
+            daemon = left.pop()
+            if number and not self.allow(daemon):
+                return False
+            if number:
+                repeats.append(self.at)
+            else:
+                self.firsts(daemon, 1)
+            if rng.random() >= self.TURNED_AWAY:
+                return True
+        return False
+
+    def test_a_fleet_of_callers_uses_what_their_parts_could_not(self):
+        served, _, repeats = self.play(30.0)
+        self.assertGreater(len(repeats), 0.8 * 3 * (0.2 * 1_365 + 213))
+        self.assertGreater(served, 0.55)
+
+    def test_no_window_exceeds_the_budget(self):
+        _, firsts, repeats = self.play(30.0)
+        for moment in repeats[:: len(repeats) // 50]:
+            inside = [at for at in repeats if moment - WINDOW_S < at <= moment]
+            asked = [at for at in firsts if moment - WINDOW_S < at <= moment]
+            self.assertLessEqual(len(inside), RATIO * len(asked) + 213)
+
+
+class AttemptsTests(unittest.TestCase):
+    """Which attempts a target has seen."""
+
+    def arrived_after(self, kind):
+        attempts = Attempts()
+        row = ERROR_ANSWERS[kind]
+        attempts.ended("a", Answer(row.status, kind=kind, effect=row.effect))
+        return attempts.arrived
+
+    def test_an_attempt_that_no_target_saw_is_no_arrival(self):
+        """Repeats were refused for a budget that nobody had drawn on.
+
+        Sequence: daemons refuse calls whose targets are leaving or busy; each
+        next attempt counted against the service although no target had seen
+        the first. Cause: every attempt but a call's first was a repeat.
+        """
+        for kind in (ErrorKind.LEAVING, ErrorKind.OVERLOADED):
+            self.assertFalse(self.arrived_after(kind), kind)
+        for kind in (ErrorKind.TARGET_REJECTED, ErrorKind.LINK_LOST):
+            self.assertTrue(self.arrived_after(kind), kind)
