--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
@@ -1,7 +1,5 @@
 """One link to another daemon: its calls, its heartbeats and its end."""
 
-import asyncio
-
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.links.call_frames import AnswerFrame, CallFrame
 from papayabay_daemon._internal.links.codec import (
@@ -21,7 +19,6 @@
     STAMP_SECONDS,
 )
 from papayabay_daemon._internal.links.outgoing import OutgoingCalls
-from papayabay_daemon._internal.links.silence import SilenceWatch
 
 
 class Link(Connection):
@@ -50,6 +47,7 @@
         self.ping_us = None
         self.round_trip_ms = None
         self.heart = None
+        self.clear_at = self.last_heard
         self.receivers = {
             CallFrame: self.incoming.receive_call,
             AnswerFrame: self.outgoing.receive_answer,
@@ -67,10 +65,12 @@
     def begin(self):
         """Show our clock, and watch for silence from now on."""
         self.send_ping()
-        self.heart = self.loop.create_task(self.beat())
+        self.clear_at = now()
+        self.heart = self.loop.create_future()
+        self.owner.beats.add(self)
 
     def end(self, reason):
-        """Stop the heartbeat; answer all calls in flight.
+        """End the heartbeat; answer all calls in flight.
 
         A doubt outlasts its link: see `PeerLinks.seek`.
         """
@@ -152,37 +152,41 @@
         self.ping_us = now_us()
         self.send(encode_number("ping", self.ping_us))
 
-    async def beat(self):
-        """Find out that the link went silent.
+    def beat(self, watch, moment):
+        """Find out, once per heartbeat period, that the link went silent.
 
         A middlebox can forget a connection, or a cable be cut: writes go on
         to succeed, nothing comes back, and TCP tells of it after minutes.
         Calls would hang that long. Heartbeats make sure that something is
         owed whenever nothing was heard, and so silence means loss.
+
+        Parameters
+        ----------
+        watch : SilenceWatch
+        moment : float
+            Now, the same for all links.
         """
-        watch = SilenceWatch(self.owner.settings.timing, now())
-        clear_at = now()
-        while True:
-            await asyncio.sleep(watch.period)
-            moment = now()
-            if not self.is_owed():
-                clear_at = moment
-            heard_at = max(self.last_heard, clear_at)
-            if watch.is_silent(moment, heard_at):
-                self.counters.links_silent += 1
-                self.owner.limited_log.warn(
-                    "silent", "Link with {} went silent", self.peer_name
-                )
-                self.lose("the link went silent")
-                return
+        if not self.is_owed():
+            self.clear_at = moment
+        heard_at = max(self.last_heard, self.clear_at)
+        if watch.is_silent(moment, heard_at):
+            self.counters.links_silent += 1
+            self.owner.limited_log.warn(
+                "silent", "Link with {} went silent", self.peer_name
+            )
+            self.lose("the link went silent")
+            return
+        # After a pause of this process nothing is known anew. Taken back, a
+        # doubt would send calls to a dark machine until the next beat.
+        if not watch.is_late:
             self.set_doubt(watch.is_doubtful(moment, heard_at))
-            quiet = moment - self.last_heard
-            if self.stamp_due(moment) or quiet >= self.patience(watch):
-                self.send_ping()
-                self.stamped_at = moment
-            if self.dialled and self.idle():
-                self.counters.links_idle += not self.retired
-                self.retire()
+        quiet = moment - self.last_heard
+        if self.stamp_due(moment) or quiet >= self.patience(watch):
+            self.send_ping()
+            self.stamped_at = moment
+        if self.dialled and self.idle():
+            self.counters.links_idle += not self.retired
+            self.retire()
 
     def data_received(self, data):
         """Take bytes in; whatever they are, the peer is there."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -9,6 +9,7 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
 from papayabay_daemon._internal.interfaces import CallHandler, RequestHandler
+from papayabay_daemon._internal.links.beating import Beats
 from papayabay_daemon._internal.links.counters import LimitedLog, LinkCounters
 from papayabay_daemon._internal.links.dialling import Dialler, Peer
 from papayabay_daemon._internal.links.incoming import FORWARD, RUN
@@ -54,6 +55,7 @@
         self.handlers = Handlers()
         self.peers = {}
         self.all_links = set()
+        self.beats = Beats(settings.timing)
         self.unproven = 0
         self.leaving_callbacks = []
         self.doubt_callbacks = []
@@ -81,6 +83,7 @@
         tasks = [task for link in self.all_links for task in link.incoming.tasks]
         for link in list(self.all_links):
             link.close()
+        self.beats.close()
         if dials or tasks:
             await asyncio.wait([*dials, *tasks], timeout=CLOSE_SECONDS)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/silence.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/silence.py
@@ -29,12 +29,19 @@
         Parameters
         ----------
         moment, last_heard : float
-            Now, and when something last came from the peer.
+            Now, the same for all links that are looked at together, and when
+            something last came from the peer.
         """
-        self.late = moment - self.last_beat - self.period
-        self.last_beat = moment
+        if moment != self.last_beat:
+            self.late = moment - self.last_beat - self.period
+            self.last_beat = moment
         return self.quiet_for(self.bound, moment, last_heard)
 
+    @property
+    def is_late(self):
+        """Whether this process paused before the present beat."""
+        return self.late >= self.period
+
     def is_doubtful(self, moment, last_heard):
         """Return whether new calls had better go elsewhere for now.
 
@@ -46,4 +53,4 @@
 
     def quiet_for(self, seconds, moment, last_heard):
         """Whether so long passed, and not because this process paused."""
-        return moment - last_heard >= seconds and self.late < self.period
+        return moment - last_heard >= seconds and not self.is_late
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
@@ -8,14 +8,23 @@
 from papayabay_daemon._internal.membership.suspicion import Suspicions
 
 HELPERS = 3
+"""Members asked to probe one that did not answer, as SWIM's authors chose."""
 DIRECT_SHARE = 0.3
+"""Part of a period that a direct probe has: many round trips in a region."""
 HELPER_SHARE = 0.3
+"""Part of a period that a helper's probe has."""
 LATE_SHARE = 0.25
+"""Part of its time by which a timer may be late on a healthy daemon."""
 LATE_MIN_SECONDS = 0.1
+"""The same at least: a collection of garbage, a busy machine."""
 HEALTH_MAX = 8
+"""Bound of the own health score, as in Lifeguard; timeouts grow with it."""
 URGENT_MAX = 8
+"""Probes out of turn that are begun together."""
 PROBES_FOR_OTHERS_MAX = 64
+"""Probes for others under way; further requests for one are dropped."""
 DEAD_PROBE_PERIODS = 10
+"""Periods between two probes of one of the dead."""
 MISSED_SECONDS = 60.0
 MISSED_PER_PERIOD = 2
 """Members lost within a minute that are asked again in each period: nearly all
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
@@ -10,8 +10,11 @@
 from papayabay_daemon._internal.membership.seeds import REFRESH_SECONDS
 
 RECONCILE_PERIODS = 30
+"""Gossip periods between two exchanges of differences with a random member."""
 RECONCILE_FIRST_PERIODS = 0.5
+"""The same after a start, when much is new."""
 JOIN_FIRST_SECONDS = 0.5
+"""First pause between two tries to meet somebody."""
 JOIN_MAX_SECONDS = 2.0
 """Longest pause between two tries while this daemon is alone. A fleet that was
 killed whole while the store was away is found again by its rows alone; for up
@@ -25,7 +28,10 @@
 """How long one seed has to answer before the next is asked for the whole list
 too: many times what a sound one takes, a tenth of what a dark one costs."""
 SEED_FIRST_SECONDS = 2.0
+"""First pause before the row's upkeep, doubled up to `REFRESH_SECONDS`."""
 KEEP_JITTER_SECONDS = 0.5
+"""Longest random wait before a row is read again or written: a hundred times
+what the store takes, so that the first of a domain is done before most."""
 log = logbook.Logger("papayabay.membership")
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -7,13 +7,17 @@
 from papayabay_core.errors import ERROR_ANSWERS, Effect, ErrorKind
 
 FIRST_PAUSE_SECONDS = 0.010
+"""Longest pause before the second attempt: a fifth of a short call."""
 MAX_PAUSE_DOUBLINGS = 6
+"""Pauses end at 0.64 s, beyond which few calls live."""
 MOST_REJECTED_DOUBLINGS = 1
 """The same after a target turned a call away with slots free: there is no load
 that a longer pause would spare, and the call's life goes on."""
 LIFE_SHARE = 0.25
+"""Of the life left, the most that a pause may take."""
 EXPIRED_STATUS = 504
 AGAIN = "again"
+"""Reason of a decision that lets another attempt follow."""
 KEPT_FROM_TARGET = frozenset(
     {
         ErrorKind.OVERLOADED,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/ejection.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/ejection.py
@@ -12,10 +12,17 @@
     ErrorKind.EXPIRED: 1,
 }
 EJECTION_POINTS = 5
+"""Points at which an upstream is left out: three failures in a row, or five
+calls in a row that expired. Two may be chance on a link that was just lost."""
 POINTS_AFTER_EJECTION = EJECTION_POINTS - 2
+"""One more failure then ejects it again."""
 FIRST_EJECTION_SECONDS = 1.0
+"""What a restart of a process takes; longer would waste one that is back."""
 LONGEST_EJECTION_SECONDS = 30.0
+"""An upstream that fails for good costs three calls in this time."""
 PENALTY_SECONDS = 2.0
+"""How long a failure speaks against an upstream: as long as it takes until a
+peer that went silent is given up."""
 
 
 class Ejection:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
@@ -7,15 +7,31 @@
 from papayabay_daemon._internal.routing.hints import Hints
 
 LOAD_FADE_SECONDS = 0.5
+"""Time in which what was heard of a load loses two thirds of its weight: some
+calls of usual length, after which another load is there."""
 LATENCY_FADE_SECONDS = 5.0
+"""The same for a measured latency, which changes with the upstream and not
+with each call."""
 LATENCY_WEIGHT = 0.2
+"""Of the latest answer in the moving average: ten answers make a new one."""
 HOPED_SHARE = 0.9
+"""Part of the service's average latency that is hoped for where nothing fresh
+is known, so that a slow upstream is tried again."""
 ERROR_WEIGHT = 0.1
+"""Of the latest answer in the moving share of failures."""
 ERROR_PENALTY = 4.0
+"""Score of an upstream that only fails, over that of a sound one, less 1. At
+twice the load the sound one is still the better choice."""
 ERROR_SECONDS = 5.0
+"""Time after which a failure says nothing any more."""
 SHORTEST_LATENCY = 0.000_1
+"""Seconds; keeps scores above 0."""
 LEAVING_SECONDS = 5.0
+"""How long an upstream that said it leaves is passed over; gossip tells of it
+within that time."""
 SUSPECT_PENALTY = 2.0
+"""Score of a suspected member over that of a live one: most of the suspected
+turn out to be alive."""
 SOUND_ERROR_PENALTY = 0.2
 """Error penalty below which an upstream is taken without comparison: one in
 twenty of its answers failed lately."""
--- a/tests/unit/daemon/test_links_heartbeats.py
+++ b/tests/unit/daemon/test_links_heartbeats.py
@@ -99,6 +99,42 @@
         await self.until(lambda: len(beats) > 2 * PINGS)
         self.assertEqual(seen, [])
 
+    async def test_all_links_are_looked_at_in_one_turn(self):
+        """A daemon of a large fleet woke up 350 times a second for nothing.
+
+        It has seventy links, each with a timer of its own that ran out five
+        times a second. Cause: one task for each link.
+        """
+        before = len(asyncio.all_tasks())
+        await self.a.dialler.dial(self.b.local)
+        await self.a.dialler.dial(self.b.local)
+        self.assertGreaterEqual(len(self.a.beats.links), 3)
+        self.assertEqual(len(asyncio.all_tasks()), before)
+
+    async def test_a_late_beat_takes_no_doubt_back(self):
+        """A peer that owed an answer got calls again for a moment.
+
+        Sequence: its link is in doubt; the own process pauses, so that the
+        next beat is late. Cause: a late beat judges nobody silent, which was
+        taken for a sign of life.
+        """
+        self.link.heart.cancel()
+        self.link.set_doubt(True)
+        watch = SilenceWatch(self.a.settings.timing, 0.0)
+        self.link.beat(watch, 100.0)
+        self.assertTrue(self.link.doubted)
+
+    async def test_a_fault_in_one_heartbeat_ends_that_link_alone(self):
+        await self.a.dialler.dial(self.peer)
+        newest = self.a.live_link("b")
+
+        def broken(watch, moment):
+            raise RuntimeError("broken")
+
+        self.link.beat = broken
+        await self.until(lambda: self.link.closed)
+        self.assertFalse(newest.closed)
+
     async def test_one_end_asks_after_a_quiet_time(self):
         """Both ends of a quiet link sent a heartbeat at the same moment.
 
--- a/tests/unit/daemon/test_links_silence.py
+++ b/tests/unit/daemon/test_links_silence.py
@@ -179,6 +179,18 @@
         self.assertFalse(watch.is_silent(100.0, 0.4))
         self.assertTrue(watch.is_silent(100.5, 0.4))
 
+    def test_own_pause_keeps_all_links_that_are_looked_at_together(self):
+        """A paused daemon kept one of its links and cut the others.
+
+        All links are looked at in one turn. Cause: the first look noted its
+        time, so that the next seemed to come without a pause before it.
+        """
+        timing = TimingSettings(link_heartbeat_ms=500, link_silence_ms=2_000)
+        watch = SilenceWatch(timing, 0.0)
+        looks = [watch.is_silent(100.0, 0.4) for _ in range(3)]
+        self.assertEqual(looks, [False, False, False])
+        self.assertTrue(watch.is_silent(100.5, 0.4))
+
     def test_silence(self):
         watch = SilenceWatch(TimingSettings(), 0.0)
         beats = [watch.is_silent(beat / 2, 0.0) for beat in range(1, 5)]
