--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -57,8 +57,9 @@
 
     def followers(self):
         """Return the members of the own domain that hear from its readers."""
-        readers = {member.name for member in self.current()}
-        return list(filterfalse(lambda member: member.name in readers, self.own()))
+        told = {member.name for member in self.current()}
+        told.add(self.members.local.name)
+        return list(filterfalse(lambda member: member.name in told, self.own()))
 
     def must_read(self):
         """Return whether this daemon has to read the store itself.
