--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -131,7 +131,7 @@
         502, _NOT_RUN, Retry.LATER, True, "The target could not be connected to."
     ),
     ErrorKind.RETRIES_SPENT: ErrorAnswer(
-        503, _NOT_RUN, Retry.LATER, False, "The request's retry credits are spent."
+        503, _NOT_RUN, Retry.LATER, False, "Its credits or the budget are spent."
     ),
     ErrorKind.LIFETIME_TOO_SHORT: ErrorAnswer(
         504, _NOT_RUN, Retry.LATER, False, "It could not finish in its lifetime."
--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -11,8 +11,7 @@
 """Requests under way at once; the platform's services take some hundreds of
 connections from all processes together."""
 CONNECT_SHARE = 0.5
-"""Of a request's time, for making its connection: the rest is left to send it
-on another when the first address takes none."""
+"""Of a request's time, for making its connection; the rest is the answer's."""
 IDEMPOTENT = frozenset({"GET", "PUT", "DELETE"})
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 NOT_APPLIED = frozenset({429, 503})
