Show how a budget of repeats stands, and put levels before histograms

Cause: three hypotheses on repeats beyond a budget couldn't be told apart. The metrics page is cut where it is collected, and counters stood behind histograms; beside totals nothing showed the share in use or what it rests on. Change: levels (repeats, allowed, firsts, sharers, age of the account), counters of first attempts and of repeats by class, all before the histograms; one line when a service's budget runs out and one when it is there again. No decision changes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/exposition.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/exposition.py
@@ -16,15 +16,18 @@
         With a `metrics.host`.
     latencies : Latencies
     totals : callable
-        Returns numbers by dotted name.
+        Returns numbers that only ever grow, by dotted name.
+    levels : callable
+        Returns numbers that rise and fall, by dotted name.
     """
 
-    def __init__(self, settings, latencies, totals):
+    def __init__(self, settings, latencies, totals, levels):
         metrics = settings.metrics
         super().__init__(metrics.host, metrics.port, settings.limits)
         self.path = metrics.path
         self.latencies = latencies
         self.totals = totals
+        self.levels = levels
 
     async def answer(self, request):
         """Return the metrics."""
@@ -32,5 +35,5 @@
             raise CallError(ErrorKind.UNKNOWN_SERVICE, "only the metrics are here")
         from papayabay_daemon._internal.metrics.text import exposition
 
-        text = exposition(self.latencies, self.totals)
+        text = exposition(self.latencies, self.totals, self.levels)
         return Answer(200, [CONTENT_TYPE], Body(text))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/text.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/text.py
@@ -8,7 +8,11 @@
 from itertools import accumulate
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 from prometheus_client.utils import floatToGoString
 
 from papayabay_daemon._internal.metrics.latencies import LATENCY_BUCKETS_S
@@ -25,23 +29,37 @@
     ----------
     latencies : Latencies
     totals : callable
-        Returns numbers by dotted name.
+        Returns numbers that only ever grow, by dotted name.
+    levels : callable
+        Returns numbers that rise and fall, by dotted name.
     """
 
-    def __init__(self, latencies, totals):
+    def __init__(self, latencies, totals, levels):
         self.latencies = latencies
         self.totals = totals
+        self.levels = levels
 
     def collect(self):
-        """Yield all histograms and counters."""
+        """Yield all levels, counters and histograms.
+
+        Histograms come last. They are nine tenths of the page, and where a
+        collector keeps a bounded part of it, the few numbers that tell what a
+        process decides by must not be what is cut off.
+        """
+        yield from families(GaugeMetricFamily, "Level", self.levels())
+        yield from families(CounterMetricFamily, "Count", self.totals())
         requests, attempts = self.latencies.requests, self.latencies.attempts
         yield histograms("request", "Requests that entered here.", requests)
         yield histograms("attempt", "Attempts sent to upstreams.", attempts)
-        for name, value in self.totals().items():
-            plain = PREFIX + NOT_IN_NAMES.sub("_", name).lower()
-            family = CounterMetricFamily(plain, f"Count of {name}.")
-            family.add_metric([], value)
-            yield family
+
+
+def families(kind, what, numbers):
+    """Yield a family of one number for each dotted name."""
+    for name, value in numbers.items():
+        plain = PREFIX + NOT_IN_NAMES.sub("_", name).lower()
+        family = kind(plain, f"{what} of {name}.")
+        family.add_metric([], value)
+        yield family
 
 
 def histograms(name, text, by_series):
@@ -56,8 +74,8 @@
     return family
 
 
-def exposition(latencies, totals):
+def exposition(latencies, totals, levels):
     """Return all metrics as bytes."""
     registry = CollectorRegistry()
-    registry.register(Collector(latencies, totals))
+    registry.register(Collector(latencies, totals, levels))
     return generate_latest(registry)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -1,9 +1,17 @@
 """Bounds the repeats that reach the target beside this daemon."""
 
+from dataclasses import asdict
+
+import logbook
+
 from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.importance import Importance
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.retries.shortage import BudgetShortage
 from papayabay_daemon._internal.retries.window import RepeatWindow
 
+log = logbook.Logger("papayabay.retries")
+
 COUNT_SECONDS = 1.0
 """How long a count of the daemons that share a budget is taken for true."""
 
@@ -41,7 +49,9 @@
         self.window = None
         self.counted = 1
         self.counted_at = float("-inf")
-        self.counters = {"arrived": 0, "refused": 0}
+        self.counters = {"first_attempts": 0, "arrived": 0, "refused": 0}
+        self.arrived_by_class = dict.fromkeys(Importance, 0)
+        self.shortage = BudgetShortage(log)
 
     def take(self, call):
         """Count a call on its way to the target.
@@ -56,11 +66,16 @@
             return
         window = self.window_of(call.service)
         if not call.repeated:
+            self.counters["first_attempts"] += 1
             window.first_attempt(retries)
         elif window.allow(retries, self.count(call.service), call.own_class):
             self.counters["arrived"] += 1
+            self.arrived_by_class[call.own_class] += 1
+            self.shortage.allowed(call.service, self.clock())
         else:
             self.counters["refused"] += 1
+            use = window.use(retries, self.count(call.service))
+            self.shortage.refused(call.service, self.clock(), use)
             raise CallError(ErrorKind.RETRIES_SPENT, "the service's budget is spent")
 
     def give_back(self, call):
@@ -72,6 +87,28 @@
         if call.repeated and self.window is not None:
             self.window.give_back()
             self.counters["arrived"] -= 1
+            self.arrived_by_class[call.own_class] -= 1
+
+    def totals(self):
+        """Return what was counted since the start, for metrics."""
+        by_class = {
+            importance.name.lower(): count
+            for importance, count in self.arrived_by_class.items()
+        }
+        return {**self.counters, "arrived_by_class": by_class}
+
+    def levels(self):
+        """Return how the account stands now, for metrics.
+
+        Returns
+        -------
+        dict of str to float
+            Empty while there is no budget to keep to.
+        """
+        retries = self.policy_source().retries(self.service)
+        if self.window is None or retries.window_ms is None:
+            return {}
+        return asdict(self.window.use(retries, self.count(self.service)))
 
     def window_of(self, service):
         """Return the account of the service that the target offers now."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -34,6 +34,31 @@
     repeats: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetUse:
+    """How a daemon's part of a budget stands.
+
+    Attributes
+    ----------
+    repeats : int
+        Let through in the window that ends now.
+    allowed : float
+        Repeats that the part amounts to in it.
+    firsts : int
+        First attempts in it that earned repeats.
+    sharers : int
+        Daemons that the fixed part of the budget was divided by.
+    age_s : float
+        Seconds since the account began.
+    """
+
+    repeats: int
+    allowed: float
+    firsts: int
+    sharers: int
+    age_s: float
+
+
 class RepeatWindow:
     """First attempts and repeats of one service that come to this daemon.
 
@@ -84,6 +109,23 @@
         importance : Importance
             Less important calls may not spend all of it.
         """
+        use = self.use(retries, members)
+        if use.repeats + 1 > CLASS_SHARES[importance] * use.allowed:
+            return False
+        current = self.current(retries.window_ms / 1_000)
+        critical = importance is Importance.CRITICAL
+        if not critical and self.outpaces(current, use.allowed):
+            return False
+        current.repeats += 1
+        return True
+
+    def use(self, retries, members):
+        """Return how much of the budget is used, and what that rests on.
+
+        Returns
+        -------
+        BudgetUse
+        """
         window_s = retries.window_ms / 1_000
         current = self.current(window_s)
         # The oldest slice may lie before the window. Its repeats count all the
@@ -91,18 +133,14 @@
         oldest = current.number - SLICES
         firsts = sum(part.firsts for part in self.slices if part.number > oldest)
         repeats = sum(part.repeats for part in self.slices)
+        age_s = self.clock() - self.begun_at
         budget = retries.ratio * firsts
         # A process that has just started doesn't know what the one before it
         # let through, nor yet how many others there are.
-        if self.clock() - self.begun_at >= window_s:
+        if age_s >= window_s:
             budget += retries.window_repeats / max(1, members)
         budget *= 1.0 - SPARE_SHARE
-        if repeats + 1 > CLASS_SHARES[importance] * budget:
-            return False
-        if importance is not Importance.CRITICAL and self.outpaces(current, budget):
-            return False
-        current.repeats += 1
-        return True
+        return BudgetUse(repeats, budget, firsts, members, age_s)
 
     def outpaces(self, current, budget):
         """Return whether the budget is used up faster than it comes back.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -20,7 +20,7 @@
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
         "retries": partial(dict, daemon.retries.stops),
-        "repeats": partial(dict, daemon.arrivals.counters),
+        "repeats": daemon.arrivals.totals,
         "idempotency": partial(key_counters, daemon.gate),
         "store": partial(dict, daemon.gate.claims.counters),
         "doors": partial(door_counters, daemon),
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -21,7 +21,7 @@
 from papayabay_daemon._internal.metrics.exposition import MetricsDoor
 from papayabay_daemon._internal.metrics.latencies import Latencies
 from papayabay_daemon._internal.metrics.objectives import ObjectiveCounters
-from papayabay_daemon._internal.metrics.sender import MetricsSender
+from papayabay_daemon._internal.metrics.sender import MetricsSender, flatten
 from papayabay_daemon._internal.retries import (
     ArrivalBudget,
     KeyAccounts,
@@ -160,8 +160,8 @@
         )
         self.listeners = self.environment.listeners(self)
         if settings.metrics.host is not None:
-            door = MetricsDoor(settings, self.parts.latencies, self.metrics.totals)
-            self.listeners.append(door)
+            sources = self.parts.latencies, self.metrics.totals, self.levels
+            self.listeners.append(MetricsDoor(settings, *sources))
         routes = StatusRoutes(self)
         self.status_door = StatusDoor(settings, routes.reads(), routes.writes())
 
@@ -192,6 +192,10 @@
         """Return the policy in force."""
         return self.keeper.policy
 
+    def levels(self):
+        """Return what metrics show beside counters, by dotted name."""
+        return flatten({"repeats": self.arrivals.levels()})
+
     def admission_inputs(self):
         """Return what admission is configured by now."""
         policy = self.policy()
--- a/tests/unit/daemon/test_arrival_budget.py
+++ b/tests/unit/daemon/test_arrival_budget.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import logbook
+
 from papayabay_core.calls import Answer, Body, Call
 from papayabay_core.errors import ERROR_ANSWERS, CallError, ErrorKind
 from papayabay_core.importance import Importance
@@ -209,6 +211,38 @@
         self.assertEqual(self.allowed(budget, 99), 10)
         self.assertEqual(budget.counters["arrived"], 10)
 
+    def test_metrics_tell_what_the_account_rests_on(self):
+        """Nobody could tell which of three causes had exceeded a budget.
+
+        Cause: only totals of repeats were counted, and not how old the account
+        was, what had earned them, or how many daemons shared the rest.
+        """
+        self.sharers = 4
+        budget = self.warm()
+        self.firsts(budget, 100)
+        self.allowed(budget, 2, Importance.SHEDDABLE)
+        self.allowed(budget, 1)
+        levels = budget.levels()
+        self.assertAlmostEqual(levels.pop("allowed"), 0.9 * (0.2 * 100 + 12))
+        expected = {"repeats": 3, "firsts": 100, "sharers": 4, "age_s": WINDOW_S}
+        self.assertEqual(levels, expected)
+        totals = budget.totals()
+        by_class = {"critical": 1, "normal": 0, "sheddable": 2}
+        self.assertEqual(totals["arrived_by_class"], by_class)
+        self.assertEqual(totals["first_attempts"], 100)
+
+    def test_a_spent_budget_is_logged_once_and_so_is_its_return(self):
+        self.sharers = 4
+        budget = self.warm()
+        with logbook.TestHandler() as handler:
+            self.allowed(budget, 99)
+            self.at += WINDOW_S + 1.0
+            self.assertTrue(self.allow(budget))
+        lines = [record.message for record in handler.records]
+        self.assertEqual(len(lines), 2)
+        self.assertIn("10 let through of 10.8", lines[0])
+        self.assertIn("there again, after 89 refused", lines[1])
+
     def test_without_a_window_nothing_is_counted(self):
         policy = Policy()
         budget = ArrivalBudget(lambda: policy, lambda service: 1, lambda: self.at)
--- a/tests/unit/daemon/test_metrics_exposition.py
+++ b/tests/unit/daemon/test_metrics_exposition.py
@@ -14,7 +14,8 @@
         metrics = MetricsSettings(host="127.0.0.1", port=0, path="/own")
         changed = settings().model_copy(update={"metrics": metrics})
         totals = {"calls.entered": 3}
-        self.door = MetricsDoor(changed, self.latencies, lambda: totals)
+        levels = {"repeats.allowed": 4.5}
+        self.door = MetricsDoor(changed, self.latencies, lambda: totals, lambda: levels)
         await self.door.start()
         self.addAsyncCleanup(self.door.close)
 
@@ -33,6 +34,20 @@
         self.assertIn(f'{series},path="svc/read"}} 1.0', text)
         self.assertIn('outcome="overloaded"', text)
 
+    async def test_what_is_decided_by_stands_before_the_histograms(self):
+        """Nobody could see how far a budget of repeats was used.
+
+        Sequence: a collector keeps the first part of each page; once calls had
+        been made, histograms filled all of that. Cause: counters stood behind
+        them, and levels nowhere.
+        """
+        self.latencies.request_ended("svc/read", Answer(200), 0.3)
+        _, text = await self.fetch()
+        level = text.index("papayabay_repeats_allowed 4.5")
+        counter = text.index("papayabay_calls_entered_total 3.0")
+        self.assertLess(level, counter)
+        self.assertLess(counter, text.index("papayabay_request_seconds_bucket"))
+
     async def test_another_path_holds_nothing(self):
         self.assertEqual((await self.fetch("/else"))[0], 404)
 
