--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/shortage.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/shortage.py
@@ -2,7 +2,7 @@
 
 QUIET_SECONDS = 2.0
 """Without a refusal for so long, the budget is there again. In an overload it
-runs out and comes back with each call; a line for each would bury all others."""
+runs out and comes back with each call; lines for each would bury all else."""
 
 
 class BudgetShortage:
