--- a/tests/unit/daemon/test_membership_joining.py
+++ b/tests/unit/daemon/test_membership_joining.py
@@ -21,10 +21,10 @@
 STORE_SECONDS = 0.005
 """An answer of the store, as its operators state it."""
 MANY = {"gossip_period_ms": 500, "suspicion_ms": 3_000}
-"""Periods for two dozen daemons in one process. With a twentieth of a second, as
-elsewhere here, its loop lags behind by a whole period, and all of them declare
-each other dead without end: at 24 the wait for a full list ended by its bound
-in one run of four."""
+"""Periods for two dozen daemons in one process. With a twentieth of a second,
+as elsewhere here, its loop lags behind by a whole period, and all of them
+declare each other dead without end: in three of nine runs some never saw all.
+"""
 
 
 class EndOfTest(Exception):
