--- a/tests/unit/daemon/budget_fleet.py
+++ b/tests/unit/daemon/budget_fleet.py
@@ -116,7 +116,13 @@
         self.seen = set()
         self.ids = count()
         self.daemons = []
-        self.daemons = [BesideTarget(self, number) for number in range(size)]
+        self.resize(size)
+
+    def resize(self, size):
+        """Let daemons join, or the oldest leave, until so many are there."""
+        del self.daemons[: max(0, len(self.daemons) - size)]
+        while len(self.daemons) < size:
+            self.daemons.append(BesideTarget(self, len(self.daemons)))
 
     def chance(self, share):
         """Return true in a share of the cases."""
--- a/tests/unit/daemon/test_budget_restarts.py
+++ b/tests/unit/daemon/test_budget_restarts.py
@@ -96,6 +96,25 @@
         self.assertLessEqual(fleet.worst_use(), 1.0)
 
 
+class LeavingTests(unittest.TestCase):
+    """A service that lost daemons got the fixed part of its budget twice.
+
+    Sequence: few calls, nearly all turned away, so that each of four daemons
+    spends its quarter of the fixed part; three of them leave, and the fourth
+    takes the whole for its own. Cause: the part was an equal one of those who
+    are there now, not of those who were within the window.
+    """
+
+    def test_the_part_of_those_who_have_left_is_not_spent_again(self):
+        fleet = BudgetFleet(4, random.Random(26))
+        fleet.play(12.0, 5.0)
+        fleet.turned_away = 0.95
+        fleet.play(4.0, 5.0, attempts=8)
+        del fleet.daemons[:3]
+        fleet.play(6.0, 5.0, attempts=8)
+        self.assertLessEqual(fleet.worst_use(), 1.0)
+
+
 SEGMENTS = st.lists(
     st.tuples(
         st.sampled_from((0.3, 1.0, 2.5, 5.0)),
@@ -105,12 +124,14 @@
         st.sampled_from(tuple(Importance)),
         st.booleans(),
         st.sets(st.integers(0, 3)),
+        st.integers(-2, 2),
     ),
     min_size=2,
     max_size=8,
 )
 """Parts of a day: seconds, calls a second, shares turned away and refused for
-load, class, whether repeated runs make calls, and who restarts at its end."""
+load, class, whether repeated runs make calls, and who restarts and how many
+join or, below zero, leave at its end."""
 
 
 class AnyDayTests(unittest.TestCase):
@@ -119,12 +140,14 @@
     def test_no_window_is_ever_over_the_budget(self, seed, segments):
         fleet = BudgetFleet(4, random.Random(seed), budget_policy(repeats=8))
         fleet.play(11.0, 20.0)
-        for seconds, rate, away, refused, importance, again, killed in segments:
+        for seconds, rate, away, refused, importance, again, *changes in segments:
+            killed, joining = changes
             fleet.turned_away, fleet.overloaded = away, refused
             fleet.play(seconds, rate, importance=importance)
             if again:
                 for _ in range(20):
                     fleet.call(importance, of_repeat=True)
             for number in killed:
-                fleet.daemons[number].restart()
+                fleet.daemons[number % len(fleet.daemons)].restart()
+            fleet.resize(max(1, len(fleet.daemons) + joining))
         self.assertLessEqual(fleet.worst_use(), 1.0)
