Reckon a budget's windows without an object for each

Cause: every repeat that asks built 21 objects, also those that are refused, of which a daemon sees a thousand a second while its target turns calls away. Change: plain tuples, one object where metrics or a log line ask.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -56,10 +56,6 @@
     sharers: int
     age_s: float
 
-    def room(self, share):
-        """Return how many repeats a share of the budget has left."""
-        return share * self.allowed - self.repeats
-
 
 class RepeatWindow:
     """First attempts and repeats of one service that reach one target.
@@ -150,21 +146,32 @@
             Less important calls may not spend all of it.
         """
         share = CLASS_SHARES[importance]
-        uses = self.uses(retries, members)
-        if min(use.room(share) for use in uses) < 1.0:
+        windows = self.windows(retries, members)
+        if min(share * allowed - repeats for repeats, allowed, _ in windows) < 1.0:
             return False
-        if importance is not Importance.CRITICAL and self.outpaces(uses[0]):
+        _, allowed, _ = windows[-1]
+        if importance is not Importance.CRITICAL and self.outpaces(allowed):
             return False
         self.pending += 1
         return True
 
     def tightest(self, retries, members):
-        """Return how the budget stands in the window with the least room."""
-        return min(self.uses(retries, members), key=lambda use: use.room(1.0))
+        """Return how the budget stands in the window with the least room.
+
+        Returns
+        -------
+        BudgetUse
+        """
+        windows = self.windows(retries, members)
+        tightest = min(windows, key=lambda window: window[1] - window[0])
+        return BudgetUse(*tightest, members, self.clock() - self.begun_at)
 
-    def uses(self, retries, members):
+    def windows(self, retries, members):
         """Return how the budget stands in each window that now belongs to.
 
+        Plain tuples, as it is asked for each repeat, also for those refused:
+        a busy daemon sees a thousand a second in an overload.
+
         Parameters
         ----------
         retries : Retries
@@ -173,40 +180,35 @@
 
         Returns
         -------
-        list of BudgetUse
-            From the window that began first to the one that begins now.
+        list of tuple
+            Repeats since the window began, repeats allowed in it, and first
+            attempts that it is reckoned by: those of its own slices and of a
+            window before them. From the window that begins now to the one
+            that began in the slice before the last whole window.
         """
         self.advance()
-        age_s = self.clock() - self.begun_at
-        # What a process that has just started lets through beside its first
-        # attempts comes on top of what the one before it did, and it doesn't
-        # know yet how many others there are.
-        fixed = retries.window_repeats / max(1, members)
-        if age_s < self.window_s:
-            fixed = 0.0
-        earned = EARNED_EACH_TIME * retries.ratio
-        since = reversed(list(accumulate(reversed(self.repeats), initial=self.pending)))
+        used = 1.0 - SPARE_SHARE
+        earned = used * EARNED_EACH_TIME * retries.ratio
+        fixed = used * self.fixed_part(retries, members)
+        repeats = accumulate(reversed(self.repeats))
+        firsts = islice(accumulate(reversed(self.firsts)), SLICES - 1, None)
         return [
-            BudgetUse(
-                repeats=repeats,
-                allowed=(1.0 - SPARE_SHARE) * (earned * firsts + fixed),
-                firsts=firsts,
-                sharers=members,
-                age_s=age_s,
-            )
-            for repeats, firsts in zip(since, self.firsts_reckoned(), strict=False)
+            (self.pending + since, earned * reckoned + fixed, reckoned)
+            for since, reckoned in zip(repeats, firsts, strict=True)
         ]
 
-    def firsts_reckoned(self):
-        """Yield, for each window, the first attempts that it is reckoned by.
+    def fixed_part(self, retries, members):
+        """Return the repeats that need no first attempts to earn them.
 
-        A window that began in the slice before the last whole window has those
-        of all slices that are kept; each later one has one slice less.
+        None for the length of a window after the start: what a new process
+        lets through comes on top of what the one before it did, and it doesn't
+        know yet how many others there are.
         """
-        sums = list(accumulate(reversed(self.firsts)))
-        return islice(reversed(sums), SLICES + 1)
+        if self.clock() - self.begun_at < self.window_s:
+            return 0.0
+        return retries.window_repeats / max(1, members)
 
-    def outpaces(self, use):
+    def outpaces(self, allowed):
         """Return whether the budget is used up faster than it comes back.
 
         When all upstreams of a service fail, the many calls of the least
@@ -218,8 +220,8 @@
 
         Parameters
         ----------
-        use : BudgetUse
-            Of the whole window that ends now.
+        allowed : float
+            Repeats in the whole window that ends now.
         """
         latest = self.pending + sum(islice(reversed(self.repeats), PACE_SLICES))
-        return latest + 1 > max(1.0, use.allowed * PACE_SLICES / SLICES)
+        return latest + 1 > max(1.0, allowed * PACE_SLICES / SLICES)
