Count sharers for each call cheaply, and let counters only grow

Cause: reading the change: a metric that is shown as a counter was counted down for first attempts that found no way to their target, and the most of the last sharers was looked for at each first attempt, which needs no answer. Change: a counter of its own for the former; the latter asked for repeats alone.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -12,6 +12,9 @@
 from papayabay_daemon._internal.retries.shortage import BudgetShortage
 from papayabay_daemon._internal.retries.window import RepeatWindow
 
+COUNTED = ("first_attempts", "first_missed", "arrived", "refused")
+"""What metrics tell: first attempts handed to the target, and those of them
+that it never saw; repeats that it was handed, and those beyond the budget."""
 log = logbook.Logger("papayabay.retries")
 
 
@@ -46,7 +49,7 @@
         self.clock = clock
         self.service = ""
         self.window = None
-        self.counters = {"first_attempts": 0, "arrived": 0, "refused": 0}
+        self.counters = dict.fromkeys(COUNTED, 0)
         self.arrived_by_class = dict.fromkeys(Importance, 0)
         self.shortage = BudgetShortage(log)
 
@@ -68,10 +71,12 @@
         if retries.window_ms is None:
             return None
         window = self.window_of(call.service, retries.window_ms / 1_000)
-        # Counted for each call, so that those who leave later are known.
-        sharers = self.sharers.most(call.service, window.window_s)
+        # Counted while there are no repeats too: who leaves before the first
+        # of them may have spent a part by then.
+        self.sharers.count(call.service, window.window_s)
         if not call.repeated:
             return window
+        sharers = self.sharers.most()
         if window.allow(retries, sharers, call.own_class):
             self.shortage.allowed(call.service, self.clock())
             return window
@@ -106,7 +111,7 @@
         if window is None or call.repeated or answer.kind not in KEPT_FROM_TARGET:
             return
         window.first_missed()
-        self.counters["first_attempts"] -= 1
+        self.counters["first_missed"] += 1
 
     def give_back(self, call, window):
         """Note that a call won't reach the target."""
@@ -129,11 +134,12 @@
         dict of str to float
             Empty while there is no budget to keep to.
         """
+        if self.window is None:
+            return {}
         retries = self.policy_source().retries(self.service)
-        if self.window is None or retries.window_ms is None:
+        if retries.window_ms is None:
             return {}
-        sharers = self.sharers.most(self.service, self.window.window_s)
-        return asdict(self.window.tightest(retries, sharers))
+        return asdict(self.window.tightest(retries, self.sharers.most()))
 
     def window_of(self, service, window_s):
         """Return the account of the service that the target offers now.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/sharers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/sharers.py
@@ -30,13 +30,17 @@
         """Begin anew, for another service."""
         self.counts.clear()
 
-    def most(self, service, window_s):
-        """Return the most within a window that ends now; 1 at least."""
+    def most(self):
+        """Return the most within the window that ends now; 1 at least."""
+        return max((count for _, count in self.counts), default=1)
+
+    def count(self, service, window_s):
+        """Count those who are there now, unless that was done just before."""
         at = self.clock()
-        if not self.counts or at - self.counts[-1][0] > COUNT_SECONDS:
-            self.counts.append((at, max(1, self.sharers(service))))
+        if self.counts and at - self.counts[-1][0] <= COUNT_SECONDS:
+            return
+        self.counts.append((at, max(1, self.sharers(service))))
         # A count holds until the next, so that of the one before the window
         # the last moment may lie within it.
         while at - self.counts[0][0] > window_s + COUNT_SECONDS:
             self.counts.popleft()
-        return max(count for _, count in self.counts)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -71,8 +71,8 @@
     the load goes, and so are those of a process and its successors. Were each
     let spend all that the last window earned, what one had saved up could be
     spent, forgotten when it is killed, and earned anew by the next: half as
-    much again as the budget, when all start anew in an overload. A bucket
-    would let through, in one window, what it has saved in all earlier ones.
+    much again as the budget, when all start anew in an overload. A bucket as
+    large as a window's budget would do the same without any restart.
 
     Parameters
     ----------
--- a/tests/unit/daemon/test_arrival_budget.py
+++ b/tests/unit/daemon/test_arrival_budget.py
@@ -283,6 +283,7 @@
         by_class = {"critical": 1, "normal": 0, "sheddable": 2}
         self.assertEqual(totals["arrived_by_class"], by_class)
         self.assertEqual(totals["first_attempts"], 100)
+        self.assertEqual(totals["first_missed"], 0)
 
     def test_a_spent_budget_is_logged_once_and_so_is_its_return(self):
         self.sharers = 4
