Part the budget's tests into support, one account, and all parts

Change: shared pieces in budget_support.py, the fleet's parts in test_arrival_parts.py; every assertion is as it was.

--- a/tests/unit/daemon/budget_fleet.py
+++ b/tests/unit/daemon/budget_fleet.py
@@ -4,30 +4,18 @@
 from itertools import count
 from types import SimpleNamespace
 
-from papayabay_core.calls import Answer, Body, Call, LoadState
+from papayabay_core.calls import Answer, LoadState
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
-from papayabay_core.policy import Policy
-from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.calls.receive import Receiver
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.retries import ArrivalBudget, Attempts
-
-SERVICE = "orders"
-WINDOW_S = 10.0
-RATIO = 0.2
-WINDOW_REPEATS = 48
-
-
-def budget_policy(ratio=RATIO, repeats=WINDOW_REPEATS, window_s=WINDOW_S):
-    """Return a policy with a budget of repeats for the service."""
-    retries = {
-        "ratio": ratio,
-        "window_ms": int(window_s * 1_000),
-        "window_repeats": repeats,
-    }
-    values = {"services": {SERVICE: {"retries": retries}}}
-    return Policy(validate_policy(values, "test"))
+from tests.unit.daemon.budget_support import (
+    SERVICE,
+    WINDOW_S,
+    budget_policy,
+    make_call,
+)
 
 
 class BesideTarget:
@@ -151,10 +139,8 @@
             self.asked.append(self.at)
         tries = Attempts()
         for daemon in self.rng.choices(self.daemons, k=attempts):
-            call = Call(
-                name, SERVICE, "GET", "/", [], Body(), importance, 7, 0, 1e12, 0,
-                repeated=of_repeat or tries.arrived,
-            )  # fmt: skip
+            repeated = of_repeat or tries.arrived
+            call = make_call(name, repeated, importance)
             answer = daemon.receive(call)
             if answer.kind is None:
                 return True
--- a/tests/unit/daemon/test_arrival_budget.py
+++ b/tests/unit/daemon/test_arrival_budget.py
@@ -1,80 +1,15 @@
 """Repeats of a service within one budget, kept by the callees' daemons."""
 
-import random
 import unittest
 
 import logbook
 
-from papayabay_core.calls import Answer, Body, Call
+from papayabay_core.calls import Answer
 from papayabay_core.errors import ERROR_ANSWERS, CallError, ErrorKind
 from papayabay_core.importance import Importance
 from papayabay_core.policy import Policy
-from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.retries import ArrivalBudget, Attempts
-
-WINDOW_S = 10.0
-RATIO = 0.2
-WINDOW_REPEATS = 48
-
-
-def windowed(**changes):
-    retries = {
-        "ratio": RATIO,
-        "window_ms": int(WINDOW_S * 1_000),
-        "window_repeats": WINDOW_REPEATS,
-    }
-    values = {"services": {"stock": {"retries": retries | changes}}}
-    return Policy(validate_policy(values, "test"))
-
-
-def call(repeated=False, importance=Importance.CRITICAL):
-    return Call(
-        "id", "stock", "GET", "/", [], Body(), importance, 7, 0, 1e9, 3,
-        repeated=repeated,
-    )  # fmt: skip
-
-
-class BudgetCase(unittest.TestCase):
-    def setUp(self):
-        self.at = 100.0
-        self.sharers = 16
-
-    def budget(self, **changes):
-        policy = windowed(**changes)
-        budget = ArrivalBudget(
-            lambda: policy, lambda service: self.sharers, lambda: self.at
-        )
-        budget.window_of("stock", WINDOW_S)
-        return budget
-
-    def warm(self, **changes):
-        """Return the budget of a daemon that has run for a while."""
-        budget = self.budget(**changes)
-        self.at += WINDOW_S
-        return budget
-
-    def firsts(self, budget, count):
-        for _ in range(count):
-            budget.arrived(call(), budget.check(call()))
-
-    def steady(self, budget, count):
-        """Let first attempts come evenly for a window and the one before."""
-        for _ in range(2 * count):
-            self.firsts(budget, 1)
-            self.at += WINDOW_S / count
-
-    def allowed(self, budget, tries, importance=Importance.CRITICAL):
-        return sum(self.allow(budget, importance) for _ in range(tries))
-
-    def allow(self, budget, importance=Importance.CRITICAL):
-        repeat = call(repeated=True, importance=importance)
-        try:
-            account = budget.check(repeat)
-        except CallError as error:
-            self.assertEqual(error.kind, ErrorKind.RETRIES_SPENT)
-            return False
-        budget.arrived(repeat, account)
-        return True
+from tests.unit.daemon.budget_support import SERVICE, WINDOW_S, BudgetCase, make_call
 
 
 class WindowTests(BudgetCase):
@@ -174,7 +109,7 @@
         """
         budget = self.warm()
         self.firsts(budget, 1_000)
-        kept = call(repeated=True)
+        kept = make_call(repeated=True)
         kept.declared = Importance.SHEDDABLE
         with self.assertRaises(CallError):
             for _ in range(400):
@@ -231,7 +166,7 @@
     def test_a_repeat_that_gets_no_slot_is_given_back(self):
         self.sharers = 4
         budget = self.warm()
-        repeat = call(repeated=True)
+        repeat = make_call(repeated=True)
         for _ in range(99):
             budget.give_back(repeat, budget.check(repeat))
         self.assertEqual(self.allowed(budget, 99), 10)
@@ -246,7 +181,7 @@
         """
         self.sharers = 4
         budget = self.warm()
-        repeat = call(repeated=True)
+        repeat = make_call(repeated=True)
         waiting = [budget.check(repeat) for _ in range(10)]
         self.at += WINDOW_S + 1
         self.assertFalse(self.allow(budget))
@@ -260,8 +195,8 @@
         self.sharers = 4
         budget = self.warm()
         self.firsts(budget, 1_000)
-        first = budget.window_of("stock", WINDOW_S)
-        self.assertIsNot(budget.window_of("stock", 2 * WINDOW_S), first)
+        first = budget.window_of(SERVICE, WINDOW_S)
+        self.assertIsNot(budget.window_of(SERVICE, 2 * WINDOW_S), first)
         self.assertFalse(self.allow(budget))
 
     def test_metrics_tell_what_the_account_rests_on(self):
@@ -303,66 +238,6 @@
         self.assertEqual(self.allowed(budget, 99), 99)
 
 
-class FleetTests(BudgetCase):
-    """Load: all targets of a service turn half of its calls away.
-
-    195 daemons send it 0.7 calls a second each, 11 daemons stand beside its
-    targets, and the fleet may repeat 0.2 of the calls and 213 in ten seconds:
-    the figures of the largest deployment known. A caller's own part would be
-    a seventh of a call a second and 1.1 repeats, of which a tenth is spared.
-    """
-
-    CALLERS, TARGETS = 195, 11
-    RATE = 0.7
-    TURNED_AWAY = 0.55
-
-    def play(self, seconds):
-        """Return the share that is served, and all requests and repeats.
-
-        Before it, calls come for two windows, and none is turned away.
-        """
-        rng = random.Random(11)
-        self.sharers = self.TARGETS
-        daemons = [self.budget(window_repeats=213) for _ in range(self.TARGETS)]
-        firsts, repeats, served = [], [], []
-        trouble = self.at + 2 * WINDOW_S
-        while self.at < trouble + seconds:
-            self.at += rng.expovariate(self.CALLERS * self.RATE)
-            firsts.append(self.at)
-            away = self.TURNED_AWAY if self.at > trouble else 0.0
-            served.append(self.request(rng, daemons, repeats, away))
-        in_trouble = sum(at > trouble for at in firsts)
-        return sum(served[-in_trouble:]) / in_trouble, firsts, repeats
-
-    def request(self, rng, daemons, repeats, away):
-        """Return whether a call is served within four attempts."""
-        left = list(daemons)
-        rng.shuffle(left)
-        for number in range(4):
-            daemon = left.pop()
-            if number and not self.allow(daemon):
-                return False
-            if number:
-                repeats.append(self.at)
-            else:
-                self.firsts(daemon, 1)
-            if rng.random() >= away:
-                return True
-        return False
-
-    def test_a_fleet_of_callers_uses_what_their_parts_could_not(self):
-        served, _, repeats = self.play(30.0)
-        self.assertGreater(len(repeats), 0.8 * 3 * (0.2 * 1_365 + 213))
-        self.assertGreater(served, 0.55)
-
-    def test_no_window_exceeds_the_budget(self):
-        _, firsts, repeats = self.play(30.0)
-        for moment in repeats[:: len(repeats) // 50]:
-            inside = [at for at in repeats if moment - WINDOW_S < at <= moment]
-            asked = [at for at in firsts if moment - WINDOW_S < at <= moment]
-            self.assertLessEqual(len(inside), RATIO * len(asked) + 213)
-
-
 class AttemptsTests(unittest.TestCase):
     """Which attempts a target has seen."""
 
--- a/tests/unit/daemon/test_budget_restarts.py
+++ b/tests/unit/daemon/test_budget_restarts.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings, strategies as st
 
 from papayabay_core.importance import Importance
-from tests.unit.daemon.budget_fleet import BudgetFleet, budget_policy
+from tests.unit.daemon.budget_fleet import BudgetFleet
+from tests.unit.daemon.budget_support import budget_policy
 
 RATE = 200.0
 """Calls a second that four daemons beside one service's targets get."""
@@ -138,7 +139,7 @@
     @settings(max_examples=60, deadline=None, derandomize=True)
     @given(st.integers(0, 2**16), SEGMENTS)
     def test_no_window_is_ever_over_the_budget(self, seed, segments):
-        fleet = BudgetFleet(4, random.Random(seed), budget_policy(repeats=8))
+        fleet = BudgetFleet(4, random.Random(seed), budget_policy(window_repeats=8))
         fleet.play(11.0, 20.0)
         for seconds, rate, away, refused, importance, again, *changes in segments:
             killed, joining = changes
