Reckon a refused repeat's windows once

Cause: re-reading the change: the daemon reckoned all windows again for each repeat it refused, for a log line that only the first of them writes. Change: the log asks for the tightest window when it writes. A test counts; on the code before it sees 198 reckonings for 99 refusals, 100 now. No decision changes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -1,6 +1,7 @@
 """Bounds the repeats that reach the target beside this daemon."""
 
 from dataclasses import asdict
+from functools import partial
 
 import logbook
 
@@ -81,8 +82,8 @@
             self.shortage.allowed(call.service, self.clock())
             return window
         self.counters["refused"] += 1
-        use = window.tightest(retries, sharers)
-        self.shortage.refused(call.service, self.clock(), use)
+        tightest = partial(window.tightest, retries, sharers)
+        self.shortage.refused(call.service, self.clock(), tightest)
         raise CallError(ErrorKind.RETRIES_SPENT, "the service's budget is spent")
 
     def arrived(self, call, window):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/shortage.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/shortage.py
@@ -18,7 +18,7 @@
         self.refusals = 0
         self.refused_at = 0.0
 
-    def refused(self, service, at, use):
+    def refused(self, service, at, tightest):
         """Note a refused repeat.
 
         Parameters
@@ -26,9 +26,12 @@
         service : str
         at : float
             Seconds on the account's clock.
-        use : BudgetUse
+        tightest : callable
+            Returns the `BudgetUse` of the window with the least room. Asked
+            for the line alone: it takes as long as deciding on the repeat.
         """
         if self.refusals == 0:
+            use = tightest()
             self.log.warning(
                 "the budget of repeats of {} is spent: {} let through of {:.1f}, "
                 "for {} first attempts; {} share it, counted for {:.1f} s",
--- a/tests/unit/daemon/test_arrival_budget.py
+++ b/tests/unit/daemon/test_arrival_budget.py
@@ -1,6 +1,7 @@
 """Repeats of a service within one budget, kept by the callees' daemons."""
 
 import unittest
+from unittest import mock
 
 import logbook
 
@@ -9,6 +10,7 @@
 from papayabay_core.importance import Importance
 from papayabay_core.policy import Policy
 from papayabay_daemon._internal.retries import ArrivalBudget, Attempts
+from papayabay_daemon._internal.retries.window import RepeatWindow
 from tests.unit.daemon.budget_support import SERVICE, WINDOW_S, BudgetCase, make_call
 
 
@@ -232,6 +234,19 @@
         self.assertIn("10 let through of 10.8", lines[0])
         self.assertIn("there again, after 89 refused", lines[1])
 
+    def test_a_refusal_is_reckoned_once(self):
+        """An overloaded daemon took twice the time it needs to refuse repeats.
+
+        Sequence: its budget is spent, and a thousand repeats a second are
+        refused. Cause: each was reckoned again for a line that only the first
+        of them writes.
+        """
+        budget = self.warm()
+        with mock.patch.object(RepeatWindow, "windows", autospec=True) as windows:
+            windows.return_value = [(0, 0.0, 0)]
+            self.assertEqual(self.allowed(budget, 99), 0)
+        self.assertEqual(windows.call_count, 99 + 1)
+
     def test_without_a_window_nothing_is_counted(self):
         policy = Policy()
         budget = ArrivalBudget(lambda: policy, lambda service: 1, lambda: self.at)
