Write which calls were at work when a target ended

Cause: after a target's end nothing tells what ran in it. Identifiers are new with each attempt, so three ends of one cause look like three accidents. Change: a daemon whose target broke off a call sees whether any connection to it is left and whether it takes another; where it refuses one, the end is logged and counted with the calls at work, each with a keyed fingerprint of method, path, caller and body. Calls tell their caller's service along the links. No decision changes. Conclusion: an operator can tell which request ended a target and that several ends have one in common.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -35,6 +35,8 @@
     parent_id : str
         That of the request which the own target makes this one for, if the
         caller seems to name it; it may be anything.
+    caller : str
+        Service that the caller belongs to; empty for none.
     """
 
     service: str
@@ -48,6 +50,7 @@
     host: str = ""
     request_id: str = ""
     parent_id: str = ""
+    caller: str = ""
 
 
 class CallerDialect(Protocol):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -24,6 +24,7 @@
         "idempotency": partial(key_counters, daemon.gate),
         "store": partial(dict, daemon.gate.claims.counters),
         "doors": partial(door_counters, daemon),
+        "target": partial(dict, daemon.target.ends.counters),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.keeper.counts),
         "members": partial(member_counters, daemon.membership),
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -6,8 +6,10 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_daemon._internal.doors.headers import end_to_end, without
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
+from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
 from papayabay_daemon._internal.target.cancellation import CancelNotices
 from papayabay_daemon._internal.target.dialect import OwnTargetDialect, Verdict
+from papayabay_daemon._internal.target.ends import EndWatch
 from papayabay_daemon._internal.target.exchange import Exchange
 from papayabay_daemon._internal.target.pool import TargetPool
 
@@ -40,6 +42,7 @@
         self.registry = registry
         self.pool = None
         self.notices = CancelNotices()
+        self.ends = EndWatch(Fingerprints(settings))
 
     async def run(self, call, call_token):
         """Hand a call over and return the target's answer.
@@ -91,11 +94,11 @@
         except TimeoutError:
             if exchange is None:
                 raise CallError(ErrorKind.EXPIRED_UNSENT) from None
-            self.give_up(exchange, call_token, pool)
+            self.give_up(exchange, call, call_token, pool)
             raise CallError(ErrorKind.EXPIRED) from None
         except asyncio.CancelledError:
             if exchange is not None:
-                self.give_up(exchange, call_token, pool)
+                self.give_up(exchange, call, call_token, pool)
             raise
         except CallError:
             if exchange is not None:
@@ -107,6 +110,7 @@
             # whether it read the bytes before can't be known.
             if exchange is not None:
                 exchange.abort()
+                self.lost(call, pool)
             raise CallError(ErrorKind.TARGET_LOST, repr(error)) from error
 
     async def connect(self, pool):
@@ -145,7 +149,7 @@
         headers = end_to_end(message.head.fields, self.dialect.names).kept
         body = exchange.body(call.remaining)
         if not body.whole:
-            self.follow(body.rest, call_token, pool)
+            self.follow(body.rest, call, call_token, pool)
         elif call.method != "HEAD" and status != NOT_MODIFIED:
             headers = without(headers, "content-length")
         return Answer(status, headers, body)
@@ -164,7 +168,7 @@
             await exchange.skip()
         raise CallError(ErrorKind.TARGET_LOST, "answers to other requests only")
 
-    def follow(self, stream, call_token, pool):
+    def follow(self, stream, call, call_token, pool):
         """Keep the pool until a streamed answer ends."""
         loop = asyncio.get_running_loop()
 
@@ -173,17 +177,25 @@
                 return
             pool.leave()
             if not whole:
+                self.lost(call, pool)
                 self.notices.post(pool.announcement, call_token)
 
         stream.on_end = ended
 
-    def give_up(self, exchange, call_token, pool):
+    def lost(self, call, pool):
+        """Note a call that broke off, and see whether the target lives."""
+        self.ends.note(call, pool)
+        self.ends.look(pool)
+
+    def give_up(self, exchange, call, call_token, pool):
         """Close the connection and tell the target why, if it listens."""
         exchange.abort()
+        self.ends.note(call, pool)
         self.notices.post(pool.announcement, call_token)
 
     async def close(self):
         """Close all connections."""
+        self.ends.close()
         await self.notices.close()
         if self.pool is not None:
             self.pool.close()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -56,6 +56,21 @@
         same = mine.same_process(announcement)
         return same and mine.connections == announcement.connections
 
+    @property
+    def lives(self):
+        """Whether the target holds any connection open."""
+        return any(not connection.closed for connection in self.open)
+
+    async def prove(self):
+        """Make a connection, if only to see that the target takes one.
+
+        Raises
+        ------
+        OSError
+            `ConnectionRefusedError` where nothing listens any more.
+        """
+        self.release(await self.dial())
+
     async def connect(self):
         """Return a connection that nobody else uses; waits for one.
 
