Show a request that ends one target after the other by a failing test

Cause: reproduced, not yet mended. Nothing in the product remembers a request beyond one attempt of its caller.

--- a/packages/papayabay-bench/src/papayabay_bench/targets/records.py
+++ b/packages/papayabay-bench/src/papayabay_bench/targets/records.py
@@ -15,6 +15,7 @@
     """How a call ended inside a target.
 
     UNDONE: nothing was done for it, since its own only call was refused.
+    CRASHED: the target ended under it.
     """
 
     ANSWERED = "answered"
@@ -23,6 +24,7 @@
     UNDONE = "undone"
     CANCELLED = "cancelled"
     CROSSED = "crossed"
+    CRASHED = "crashed"
 
 
 @dataclass(slots=True)
--- a/packages/papayabay-bench/src/papayabay_bench/targets/server.py
+++ b/packages/papayabay-bench/src/papayabay_bench/targets/server.py
@@ -31,6 +31,10 @@
 PASSED_STATUSES = (503, 504)
 
 
+class Crashed(Exception):
+    """A call that ends the target."""
+
+
 class StandInTarget:
     """A target whose faults can be switched while it runs.
 
@@ -58,6 +62,7 @@
         self.thawed.set()
         self.paths = sorted(spec.paths, key=lambda path: -len(path.prefix))
         self.runner = None
+        self.reviving = None
 
     @property
     def address(self):
@@ -111,6 +116,17 @@
             await self.start()
             await self.announcer.resume()
 
+    def crash(self):
+        """End at once, and come back after a while."""
+        if self.reviving is None or self.reviving.done():
+            self.reviving = asyncio.create_task(self.die_for_a_while())
+
+    async def die_for_a_while(self):
+        """Drop everything, and be there again later as another process."""
+        await self.switch({"dead": True})
+        await asyncio.sleep(self.spec.revive_ms / 1_000)
+        await self.switch({"dead": False})
+
     async def switch_drain(self, before):
         """Withdraw the announcement or make it again."""
         if self.faults.draining and not before.draining:
@@ -157,6 +173,10 @@
             end, answer = await self.work(request, body, execution)
             status = answer.status
             return answer
+        except Crashed:
+            end = End.CRASHED
+            request.transport.abort()
+            return web.Response(status=503)
         except SlotsFull:
             # A real server's accept queue is full: the connection breaks.
             end = End.SHED
@@ -198,6 +218,9 @@
         """Do the work of a call, and the calls it needs."""
         async with self.slots.held(execution):
             await self.thawed.wait()
+            if path.crash:
+                self.crash()
+                raise Crashed
             await asyncio.sleep(self.times.draw(path.work, self.faults.slow))
             await self.thawed.wait()
             if self.spec.holds_slot:
--- a/packages/papayabay-bench/src/papayabay_bench/targets/specification.py
+++ b/packages/papayabay-bench/src/papayabay_bench/targets/specification.py
@@ -32,13 +32,20 @@
 
 
 class CallPath(Strict):
-    """What a target does for calls whose path begins with `prefix`."""
+    """What a target does for calls whose path begins with `prefix`.
+
+    Attributes
+    ----------
+    crash : bool
+        Whether the target ends as soon as it begins to run one.
+    """
 
     prefix: Annotated[str, Field(pattern=r"^/")]
     work: ServiceTime = ServiceTime()
     calls: list[OutgoingCall] = []
     parallel: bool = False
     effect: bool = False
+    crash: bool = False
     answer_bytes: Annotated[int, Field(ge=0, le=64 * 1024 * 1024)] = 200
 
 
@@ -57,6 +64,8 @@
         Whether a slot stays taken while the target's own calls run.
     cold_factor : float
         Service time right after a start, relative to a warm target.
+    revive_ms : int
+        How long a target that has crashed is away.
     """
 
     paths: list[CallPath]
@@ -67,6 +76,7 @@
     cold_start_ms: Annotated[int, Field(ge=0)] = 0
     cold_factor: Annotated[float, Field(ge=1.0)] = 4.0
     lease_ms: Annotated[int, Field(ge=50)] = 3_000
+    revive_ms: Annotated[int, Field(ge=0)] = 2_000
 
 
 class TargetSpec(TargetTraits):
--- /dev/null
+++ b/tests/functional/test_quarantine.py
@@ -0,0 +1,112 @@
+"""A request that ends every target which runs it, on a fleet of processes."""
+
+import asyncio
+import unittest
+
+from papayabay_bench.fleet import Fleet, FleetPlan, ServicePlan
+from papayabay_bench.history.system import TIMING
+from papayabay_bench.load.client import kind_of
+from papayabay_bench.targets.records import End, read_records
+from papayabay_bench.targets.specification import CallPath, ServiceTime
+
+SERVICE = "orders-svc"
+DEADLY = "/deadly/7"
+TARGETS = 4
+REVIVE_MS = 1_000
+TRIES = 12
+PAUSE_S = 1.0
+CALLERS = 8
+CONTACT_S = 3.0
+"""How long what one daemon has seen may take to be known to all."""
+POLICY = {
+    "services": {
+        SERVICE: {
+            "deadline_ms": 1_000,
+            "calls": {"all": {"methods": ["GET"], "path": "/*"}},
+        },
+    }
+}
+
+
+def fleet_plan():
+    """Return one service, whose targets crash, and an entry beside none."""
+    paths = [
+        CallPath(prefix="/browse", work=ServiceTime(distribution="fixed", mean_ms=50)),
+        CallPath(prefix="/deadly", crash=True),
+    ]
+    service = ServicePlan(
+        name=SERVICE, paths=paths, upstreams=TARGETS, slots=20, revive_ms=REVIVE_MS
+    )
+    return FleetPlan(services=[service], entries=1, seed=5, timing=TIMING)
+
+
+class CrashingRequestTests(unittest.IsolatedAsyncioTestCase):
+    """One request ended all targets of its service every few seconds.
+
+    Symptom: callers of one service, and of those that call it, were refused
+    for seconds at a time; 18 targets ended under one request, 10 of them
+    seconds after it had ended the third.
+
+    Sequence: the request ends the target that runs it, is sent to the next
+    one, and ends that too. It comes again, by another entry and under another
+    identifier, as soon as the targets are back.
+    """
+
+    async def asyncSetUp(self):
+        self.fleet = await self.enterAsyncContext(Fleet(fleet_plan()))
+        await self.fleet.wait_members()
+        await self.fleet.wait_version(await self.fleet.apply(POLICY))
+        await self.fleet.wait_services()
+        self.entries = list(self.fleet.daemons)
+        self.names = iter(range(1_000_000))
+
+    async def call(self, entry, path):
+        """Return status and error kind of one call."""
+        name = f"r{next(self.names)}"
+        headers = {
+            "Papayabay-Service": SERVICE,
+            "Bench-Nonce": name,
+            "Bench-Request": name,
+        }
+        url = self.fleet.caller_url(entry) + path
+        async with self.fleet.session.get(url, headers=headers) as answer:
+            content = await answer.read()
+        return answer.status, kind_of(answer, content) if answer.status >= 400 else ""
+
+    async def browse(self, number):
+        """Call as others do, each time with another path, until stopped."""
+        turn = 0
+        while not self.stopped.is_set():
+            turn += 1
+            entry = self.entries[(number + turn) % len(self.entries)]
+            status, kind = await self.call(entry, f"/browse/{number}/{turn}")
+            self.found.append((status, kind))
+            if status != 200:
+                await asyncio.sleep(0.1)
+
+    async def send_deadly(self):
+        """Send the request again and again, by one entry after the other."""
+        for turn in range(TRIES):
+            await self.call(self.entries[turn % len(self.entries)], DEADLY)
+            await asyncio.sleep(PAUSE_S)
+        self.stopped.set()
+
+    async def crashes(self):
+        """Return when targets ended under the request."""
+        await asyncio.gather(*(host.stop(5.0) for host in self.fleet.hosts.values()))
+        executions = read_records(self.fleet.record_paths()).executions
+        return sorted(one.time for one in executions if one.end == End.CRASHED.value)
+
+    async def test_it_ends_no_target_once_all_can_know(self):
+        self.stopped = asyncio.Event()
+        self.found = []
+        await asyncio.gather(self.send_deadly(), *map(self.browse, range(CALLERS)))
+        ends = await self.crashes()
+        self.assertGreaterEqual(len(ends), 2)
+        late = [at for at in ends if at > ends[min(2, len(ends) - 1)] + CONTACT_S]
+        self.assertEqual(late, [])
+        self.assertNotIn("quarantined", {kind for _, kind in self.found})
+
+
+if __name__ == "__main__":
+    unittest.main()
