Hold requests back that end the targets which run them

What callers saw: one request, sent again every few seconds by any entry, ended all targets of its service each time; nothing of that service, or of those that call it, was served for seconds. Cause: nothing remembered a request beyond one attempt of its caller, and a target's end was a reason to send its calls to the next target. Change: the daemon beside a target tells its end from a lost answer, and which requests were at work in it. A request that was handed over again after such an end and ended that target too is held back, at the entry and beside each target, for a minute at first. Ends, answers and verdicts are facts that only add up, told to all daemons at once; verdicts stand in the store. Why it holds: both the entry and the daemon beside the target would have to be ignorant, and each learns it within a second of its start or of a cut.

--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -57,6 +57,8 @@
     LINK_LOST = 22
     CALLER_LEFT = 23
     TARGET_REJECTED = 24
+    QUARANTINED = 25
+    ISOLATED = 26
     KEY_MISSING = 30
     KEY_CONFLICT = 31
     KEY_IN_PROGRESS = 32
@@ -142,6 +144,12 @@
     ErrorKind.LINK_UNAVAILABLE: ErrorAnswer(
         502, _NOT_RUN, Retry.LATER, True, "The upstream's daemon can't be reached."
     ),
+    ErrorKind.QUARANTINED: ErrorAnswer(
+        503, _NOT_RUN, Retry.LATER, False, "Held back: targets have ended under it."
+    ),
+    ErrorKind.ISOLATED: ErrorAnswer(
+        503, _NOT_RUN, Retry.LATER, True, "Targets may have ended under it; one by one."
+    ),
     ErrorKind.REFUSED_BELOW: ErrorAnswer(
         503, _NOT_RUN, Retry.LATER, False, "A service below refused; nothing was run."
     ),
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -36,6 +36,7 @@
     slot_search: bool = True
     outlier_ejection: bool = True
     retry_after: bool = True
+    quarantine: bool = True
 
 
 class Admission(Strict, frozen=True, kw_only=True):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/parts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/parts.py
@@ -16,6 +16,7 @@
     TargetClient,
 )
 from papayabay_daemon._internal.metrics.latencies import Latencies
+from papayabay_daemon._internal.quarantine import QuarantineGate
 from papayabay_daemon._internal.target.registry import TargetRegistry
 
 
@@ -64,6 +65,7 @@
     admission: Admission
     target: TargetClient
     registry: TargetRegistry
+    quarantine: QuarantineGate
     random: random.Random
     latencies: Latencies = field(default_factory=Latencies)
     log: DecisionLog = field(default_factory=DecisionLog)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -40,36 +40,52 @@
         if not self.parts.policy().decisions.shared_rank:
             call.rank = per_hop_rank(self.parts.random)
         try:
-            self.check_service(call)
-            account = self.budget.check(call)
-            ticket = await self.admit(call, account)
+            with self.parts.quarantine.passing(call):
+                return await self.run_admitted(call)
         except CallError as error:
-            load = self.parts.admission.load(call.path_key)
-            self.parts.log.note(
-                "admission",
-                call.request_id,
-                outcome=error.kind.name.lower(),
-                level=call.level,
-                left_ms=round(call.remaining() * 1_000),
-                in_flight=load.in_flight,
-                queued=load.queued,
-                limit=load.limit,
-                admits=load.admit_level,
-                retry_after_ms=error.retry_after_ms,
-            )
-            return error_answer(error, call.credits, load)
+            return self.refuse(call, error)
+
+    async def run_admitted(self, call):
+        """Run a call once it has a slot; raises `CallError` without one."""
+        self.check_service(call)
+        account = self.budget.check(call)
+        ticket = await self.admit(call, account)
         self.budget.arrived(call, account)
         answer = await self.hand_over(call, ticket)
         self.budget.ended(call, account, answer)
         return answer
 
+    def refuse(self, call, error):
+        """Return the answer to a call that the target never saw."""
+        load = self.parts.admission.load(call.path_key)
+        self.parts.log.note(
+            "admission",
+            call.request_id,
+            outcome=error.kind.name.lower(),
+            level=call.level,
+            left_ms=round(call.remaining() * 1_000),
+            in_flight=load.in_flight,
+            queued=load.queued,
+            limit=load.limit,
+            admits=load.admit_level,
+            retry_after_ms=error.retry_after_ms,
+        )
+        return error_answer(error, call.credits, load)
+
     async def admit(self, call, account):
         """Wait for a slot; a call that gets none has not arrived."""
+        ticket = None
         try:
-            return await self.parts.admission.admit(call)
+            ticket = await self.parts.admission.admit(call)
+            # While it waited in line, a target elsewhere may have ended under
+            # the same request.
+            self.parts.quarantine.check(call)
         except BaseException:
+            if ticket is not None:
+                ticket.finish(None)
             self.budget.give_back(call, account)
             raise
+        return ticket
 
     def check_service(self, call):
         """Refuse a call that the target beside this daemon doesn't serve.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -27,6 +27,8 @@
         ErrorKind.LIFETIME_TOO_SHORT,
         ErrorKind.EXPIRED_UNSENT,
         ErrorKind.LINK_UNAVAILABLE,
+        ErrorKind.QUARANTINED,
+        ErrorKind.ISOLATED,
     }
 )
 """Ends of attempts of which the target saw nothing. Another attempt is the
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -24,6 +24,7 @@
         "idempotency": partial(key_counters, daemon.gate),
         "store": partial(dict, daemon.gate.claims.counters),
         "doors": partial(door_counters, daemon),
+        "quarantine": partial(quarantine_counters, daemon),
         "target": partial(dict, daemon.target.ends.counters),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.keeper.counts),
@@ -37,6 +38,12 @@
     return {**gate.counters, **gate.known.counters}
 
 
+def quarantine_counters(daemon):
+    """Return what was counted of requests held back, and of telling it."""
+    spread = daemon.quarantine_spread
+    return {**daemon.quarantine.counters, **daemon.book.counters, **spread.counters}
+
+
 def door_counters(daemon):
     """Return requests and refusals by door."""
     return {
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -94,11 +94,11 @@
         except TimeoutError:
             if exchange is None:
                 raise CallError(ErrorKind.EXPIRED_UNSENT) from None
-            self.give_up(exchange, call, call_token, pool)
+            self.give_up(exchange, call, call_token)
             raise CallError(ErrorKind.EXPIRED) from None
         except asyncio.CancelledError:
             if exchange is not None:
-                self.give_up(exchange, call, call_token, pool)
+                self.give_up(exchange, call, call_token)
             raise
         except CallError:
             if exchange is not None:
@@ -110,7 +110,7 @@
             # whether it read the bytes before can't be known.
             if exchange is not None:
                 exchange.abort()
-                self.lost(call, pool)
+                await self.lost(exchange, call)
             raise CallError(ErrorKind.TARGET_LOST, repr(error)) from error
 
     async def connect(self, pool):
@@ -150,7 +150,12 @@
         body = exchange.body(call.remaining)
         if not body.whole:
             self.follow(body.rest, call, call_token, pool)
-        elif call.method != "HEAD" and status != NOT_MODIFIED:
+            return Answer(status, headers, body)
+        # Without a length, an answer ends with its connection: so does one
+        # that a target gives while it ends.
+        if message.head.is_framed or not exchange.connection.closed:
+            self.ends.answered(call)
+        if call.method != "HEAD" and status != NOT_MODIFIED:
             headers = without(headers, "content-length")
         return Answer(status, headers, body)
 
@@ -176,22 +181,29 @@
             if loop.is_closed():
                 return
             pool.leave()
-            if not whole:
-                self.lost(call, pool)
+            if whole:
+                self.ends.answered(call)
+            else:
+                self.ends.note(call, stream.exchange)
+                self.ends.look(pool)
                 self.notices.post(pool.announcement, call_token)
 
         stream.on_end = ended
 
-    def lost(self, call, pool):
-        """Note a call that broke off, and see whether the target lives."""
-        self.ends.note(call, pool)
-        self.ends.look(pool)
+    async def lost(self, exchange, call):
+        """Note a call that broke off, and wait until it is known why.
 
-    def give_up(self, exchange, call, call_token, pool):
+        It may be sent to another target at once. By then all daemons should
+        know if this one has ended, and what else was at work in it.
+        """
+        self.ends.note(call, exchange)
+        await asyncio.wait({self.ends.look(exchange.pool)})
+
+    def give_up(self, exchange, call, call_token):
         """Close the connection and tell the target why, if it listens."""
         exchange.abort()
-        self.ends.note(call, pool)
-        self.notices.post(pool.announcement, call_token)
+        self.ends.note(call, exchange)
+        self.notices.post(exchange.pool.announcement, call_token)
 
     async def close(self):
         """Close all connections."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/ends.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/ends.py
@@ -12,6 +12,9 @@
 LOOKS_S = (0.01, 0.09)
 """Pauses before the target is looked for, seconds. Its connections end one
 after the other, and its listening socket may be the last to go."""
+HEARD_S = 0.01
+"""How long others have to hear of an end before the calls that it cut are
+answered, and then sent to the next target, seconds."""
 AT_WORK_S = 0.5
 """How long before an end, seconds, a call that was lost or given up counts as
 at work in it."""
@@ -30,11 +33,14 @@
     request_id : str
     path_key : str
     fingerprint : bytes
+    begun : float
+        When the target was handed it, on `clock.now()`.
     """
 
     request_id: str
     path_key: str
     fingerprint: bytes
+    begun: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +77,8 @@
     ----------
     listeners : list of callable
         Called with each `TargetEnd`.
+    answer_listeners : list of callable
+        Called with each call that got a whole answer.
     """
 
     def __init__(self, fingerprints, clock=now):
@@ -79,22 +87,29 @@
         self.lost = deque(maxlen=MOST_LOST)
         self.looking = None
         self.listeners = []
+        self.answer_listeners = []
         self.counters = {"ends": 0, "ended_calls": 0}
 
-    def note(self, call, pool):
+    def note(self, call, exchange):
         """Note a call that broke off, or that was given up, unanswered.
 
         Parameters
         ----------
         call : Call
-        pool : TargetPool
-            Of the process that it was handed to.
+        exchange : Exchange
+            By which it was handed over.
         """
         at = self.clock()
         while self.lost and at - self.lost[0][0] > AT_WORK_S:
             self.lost.popleft()
         digest = self.fingerprints.of(call)
-        self.lost.append((at, pool, AtWork(call.request_id, call.path_key, digest)))
+        work = AtWork(call.request_id, call.path_key, digest, exchange.begun)
+        self.lost.append((at, exchange.pool, work))
+
+    def answered(self, call):
+        """Note that a call got a whole answer, so that it ended nothing."""
+        for listener in self.answer_listeners:
+            listener(call)
 
     def look(self, pool):
         """Find out soon whether the target has ended; one look at a time."""
@@ -112,6 +127,7 @@
                 await pool.prove()
             except ConnectionRefusedError:
                 self.ended(pool)
+                await asyncio.sleep(HEARD_S)
                 return
             except OSError as error:
                 log.info("the target's end is in doubt: {!r}", error)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
@@ -5,6 +5,7 @@
 from papayabay_core.calls import Body
 from papayabay_core.http.connection import BodyWriter
 from papayabay_core.http.payload import PayloadBroken
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.doors.streaming import write_body
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
@@ -24,13 +25,16 @@
 
     Attributes
     ----------
+    begun : float
+        When it was made, on `clock.now()`.
     ended : bool
         Whether the connection was given back or closed.
     """
 
-    __slots__ = ("connection", "ended", "limits", "message", "pool", "upload")
+    __slots__ = ("begun", "connection", "ended", "limits", "message", "pool", "upload")
 
     def __init__(self, pool, connection, limits):
+        self.begun = now()
         self.pool = pool
         self.connection = connection
         self.limits = limits
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -22,6 +22,12 @@
 from papayabay_daemon._internal.metrics.latencies import Latencies
 from papayabay_daemon._internal.metrics.objectives import ObjectiveCounters
 from papayabay_daemon._internal.metrics.sender import MetricsSender, flatten
+from papayabay_daemon._internal.quarantine import (
+    QuarantineBook,
+    QuarantineGate,
+    QuarantineRows,
+    QuarantineSpread,
+)
 from papayabay_daemon._internal.retries import (
     ArrivalBudget,
     KeyAccounts,
@@ -61,6 +67,7 @@
         self.leaving = False
         self.build_state()
         self.build_decisions()
+        self.build_quarantine()
         self.build_calls()
         self.build_doors()
         self.build_supervision()
@@ -106,6 +113,27 @@
         self.links.on_leaving(self.membership.mark_leaving)
         self.links.on_doubt(self.router.note_doubt)
 
+    def build_quarantine(self):
+        """Make what keeps requests away that end targets."""
+        self.log = DecisionLog(self.writer, lambda: self.policy().version)
+        self.book = QuarantineBook()
+        self.quarantine = QuarantineGate(
+            self.settings,
+            self.book,
+            self.log,
+            lambda: self.policy().decisions.quarantine,
+        )
+        self.quarantine_spread = QuarantineSpread(
+            self.book,
+            self.membership,
+            self.links,
+            QuarantineRows(self.book, self.table, self.membership),
+            self.keeper.readers,
+            self.random,
+        )
+        self.target.ends.listeners.append(self.target_ended)
+        self.target.ends.answer_listeners.append(self.quarantine.answered)
+
     def build_calls(self):
         """Make the call flow."""
         self.parts = Parts(
@@ -118,9 +146,10 @@
             admission=self.admission,
             target=self.target,
             registry=self.registry,
+            quarantine=self.quarantine,
             random=self.random,
             latencies=Latencies(),
-            log=DecisionLog(self.writer, lambda: self.policy().version),
+            log=self.log,
             counters=CallCounters(),
         )
         self.tree = CallTree()
@@ -180,6 +209,7 @@
             Child("target asking", self.asking.run),
             Child("metrics", self.metrics.run),
             Child("pause watch", self.pause.run),
+            Child("quarantine", self.quarantine_spread.run),
         ]
         if self.writer is not None:
             children.append(Child("log", self.writer.run))
@@ -194,7 +224,11 @@
 
     def levels(self):
         """Return what metrics show beside counters, by dotted name."""
-        return flatten({"repeats": self.arrivals.levels()})
+        levels = {
+            "repeats": self.arrivals.levels(),
+            "quarantine": self.quarantine.levels(),
+        }
+        return flatten(levels)
 
     def admission_inputs(self):
         """Return what admission is configured by now."""
@@ -223,6 +257,14 @@
             self.admission.open()
             self.membership.announce(target.service, target.slots)
 
+    def target_ended(self, end):
+        """Follow the end of the target's process with calls at work in it."""
+        self.quarantine_spread.note_service(end.service)
+        self.quarantine.target_ended(end)
+        current = self.registry.current
+        if current is not None and current.process == end.process:
+            self.registry.withdraw("its process has ended")
+
     def policy_changed(self, policy):
         """Follow a policy that has come in force."""
         self.admission.reconfigure(self.admission_inputs())
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -50,6 +50,12 @@
     Sequence: the request ends the target that runs it, is sent to the next
     one, and ends that too. It comes again, by another entry and under another
     identifier, as soon as the targets are back.
+
+    Cause: nothing remembered a request beyond one attempt of its caller. A
+    target's end was taken for bad luck of that target, which is a reason to
+    try the next one.
+
+    Proof: with `decisions.quarantine` off it ends all targets each time.
     """
 
     async def asyncSetUp(self):
--- a/tests/unit/daemon/budget_fleet.py
+++ b/tests/unit/daemon/budget_fleet.py
@@ -1,6 +1,7 @@
 """Daemons beside a service's targets in virtual time, and their budget."""
 
 from bisect import bisect_left
+from contextlib import nullcontext
 from itertools import count
 from types import SimpleNamespace
 
@@ -43,6 +44,7 @@
             counters=SimpleNamespace(received=0),
             policy=lambda: fleet.policy,
             registry=SimpleNamespace(current=target),
+            quarantine=self,
             admission=self,
             target=self,
             log=SimpleNamespace(note=lambda *args, **inputs: None),
@@ -50,6 +52,13 @@
         chains = SimpleNamespace(note=lambda path_key, called: None)
         self.receiver = Receiver(parts, CallTree(), chains, self.budget)
 
+    def passing(self, call):
+        """Suspect no request."""
+        return nullcontext()
+
+    def check(self, call):
+        """Hold no request back."""
+
     def load(self, path_key):
         """Return the load that answers tell of."""
         return LoadState()
