Leave out of a request's identity where it enters

What callers saw: a request that was held back ended targets again when it came in at machines of another service, and each time the calls that ran beside it were cut. Cause: the fingerprint held the service beside which a request enters. It belongs to the machine; the client sends nothing that names it. Change: method, path and body alone are the request. Calls no longer carry a caller, which only the fingerprint used. Why it holds: all that is left is what the target gets and what each attempt repeats.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -69,9 +69,6 @@
     attempts : int
         Upstreams that may run it, 0 without a bound. Kept by the daemon that
         dispatches the call; it does not travel.
-    caller : str
-        Service whose target makes the call, or beside which it entered; empty
-        where callers belong to none.
     """
 
     request_id: str
@@ -91,7 +88,6 @@
     attempts: int = 0
     repeated: bool = False
     declared: Importance | None = None
-    caller: str = ""
 
     @property
     def own_class(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -228,7 +228,6 @@
             path_key=rule.path_key,
             attempts=rule.attempts,
             declared=None if importance is rule.importance else rule.importance,
-            caller=incoming.caller,
         )
 
     def count(self, rule, answer, elapsed):
@@ -304,7 +303,6 @@
             attempts=rule.attempts,
             repeated=parent.repeated,
             declared=parent.declared,
-            caller=incoming.caller or parent.service,
         )
 
     def debit_repeat(self, live, incoming):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -35,8 +35,6 @@
     parent_id : str
         That of the request which the own target makes this one for, if the
         caller seems to name it; it may be anything.
-    caller : str
-        Service that the caller belongs to; empty for none.
     """
 
     service: str
@@ -50,7 +48,6 @@
     host: str = ""
     request_id: str = ""
     parent_id: str = ""
-    caller: str = ""
 
 
 class CallerDialect(Protocol):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -58,8 +58,6 @@
         0 to run it, 1 to forward it to the key's home.
     declared : int or None
         Place in `IMPORTANCES` of the class by policy, where it is another.
-    caller : str
-        Empty from a peer that doesn't tell it.
     """
 
     id: Identifier
@@ -82,7 +80,6 @@
     last: bool
     purpose: int
     declared: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] | None = None
-    caller: str = ""
 
 
 class LoadFrame(msgspec.Struct, array_like=True):
@@ -214,7 +211,6 @@
         last=last,
         purpose=purpose,
         declared=None if call.declared is None else int(call.declared),
-        caller=call.caller,
     )
     try:
         return encode(frame)
@@ -252,7 +248,6 @@
         path_key=frame.path_key,
         repeated=frame.repeated,
         declared=None if frame.declared is None else IMPORTANCES[frame.declared],
-        caller=frame.caller,
     )
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/fingerprint.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/fingerprint.py
@@ -13,11 +13,13 @@
 class Fingerprints:
     """Makes a short name of a request's content, the same at all daemons.
 
-    It is made of method, path with query, caller and body. Identifiers differ
-    with each attempt, and the service is left out, since policy may move a
-    path to another one. Of long bodies only the beginning counts: requests of
-    one caller to one path that differ later are taken for the same. It is
-    keyed, so that no caller can make a request that passes for another one's.
+    It is made of method, path with query and body: of what the target gets
+    and what stays the same. Identifiers differ with each attempt. The service
+    is left out, since policy may move a path to another one; so is whatever
+    belongs to the daemon where a request enters, or it would be another one
+    at each, and end as many targets by each. Of long bodies only the beginning
+    counts: requests to one path that differ later are taken for the same. It
+    is keyed, so that no caller can make a request that passes for another's.
 
     Parameters
     ----------
@@ -31,7 +33,7 @@
 
     def of(self, call):
         """Return the fingerprint of a call, `BYTES` long."""
-        texts = (call.method, call.path, call.caller)
+        texts = (call.method, call.path)
         head = SEPARATOR.join(text.encode("utf-8", "surrogateescape") for text in texts)
         body = call.body.first
         digest = hashlib.blake2b(head, digest_size=BYTES, key=self.key)
--- a/tests/unit/platform/test_request_identity.py
+++ b/tests/unit/platform/test_request_identity.py
@@ -34,6 +34,10 @@
     eleven in all. Sequence: it ends two or three targets and is held back; it
     comes again at a machine beside whose daemon another service runs, and
     ends as many there; so on for each of four services.
+
+    Cause: the service beside which a request enters was a part of what tells
+    requests apart. It belongs to the machine, not to the request. Proof: one
+    request had three fingerprints beside three services.
     """
 
     def test_it_is_the_same_beside_whatever_service_it_enters(self):
