Let operators see and lift requests that are held back

Cause: a verdict ended by time or by an answer alone; operators who have mended a target could neither see what is held back nor let it through. Change: papayabay quarantine list and quarantine lift, over the status door, the latter with the proof of the cluster's secret; a lift goes to all daemons and the store like any other fact. A refused connection after calls were given up is looked into as well, so that an end under a call whose caller left first is found out. Conclusion: tests/functional/test_quarantine.py, OperatorTests; test_target_ends.py.

--- a/packages/papayabay-cli/src/papayabay_cli/commands/__init__.py
+++ b/packages/papayabay-cli/src/papayabay_cli/commands/__init__.py
@@ -11,6 +11,8 @@
     "history": ("history", "HistoryCommand"),
     "status": ("status", "StatusCommand"),
     "explain": ("explain", "ExplainCommand"),
+    "quarantine list": ("quarantine_list", "QuarantineListCommand"),
+    "quarantine lift": ("quarantine_lift", "QuarantineLiftCommand"),
     "report burn": ("report_burn", "ReportBurnCommand"),
 }
 """Command name: module in this package and its class. A class has a
--- a/packages/papayabay-cli/src/papayabay_cli/daemons.py
+++ b/packages/papayabay-cli/src/papayabay_cli/daemons.py
@@ -12,6 +12,7 @@
 TIMEOUT = aiohttp.ClientTimeout(total=60.0, connect=2.0)
 HAND_OVER_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 PATCHES = "/configuration/patches"
+LIFT = "/quarantine/lift"
 
 
 def ask_fleet(settings, *paths):
@@ -83,6 +84,43 @@
     return content
 
 
+def lift_request(settings, fingerprint):
+    """Have a request held back no longer; return whether it was.
+
+    Parameters
+    ----------
+    settings : OperatorSettings
+    fingerprint : str
+
+    Raises
+    ------
+    UsageError
+        When the settings name no status door or no secret.
+    DaemonsUnreachable
+        Says of each one why not.
+    """
+    if not settings.status_urls or settings.cluster_secret is None:
+        raise UsageError("settings: status_urls and cluster_secret are needed")
+    return asyncio.run(post_lift(settings, fingerprint.encode()))
+
+
+async def post_lift(settings, content):
+    """Give a fingerprint to the first daemon that takes it."""
+    headers = {PROOF_HEADER: prove_patches(settings.cluster_secret, content)}
+    causes = []
+    async with aiohttp.ClientSession(timeout=HAND_OVER_TIMEOUT) as session:
+        for url in settings.status_urls:
+            try:
+                target = url.rstrip("/") + LIFT
+                async with session.post(target, data=content, headers=headers) as got:
+                    if got.status == 200:
+                        return (await got.json(content_type=None))["lifted"]
+                    causes.append(f"{url}: answered {got.status}")
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                causes.append(f"{url}: {str(error) or type(error).__name__}")
+    raise DaemonsUnreachable(f"no daemon took it: {'; '.join(causes)}")
+
+
 async def hand_over(urls, patch, secret):
     """Give a committed patch to the first daemon that takes it.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/routes.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/routes.py
@@ -1,6 +1,7 @@
 """What the status door answers, by path."""
 
 from papayabay_core.configuration import decode_patches
+from papayabay_core.exceptions import ProtocolError
 from papayabay_daemon._internal.status.fleet import FleetReports
 from papayabay_daemon._internal.status.page import StatusPage
 
@@ -15,6 +16,7 @@
 
     def __init__(self, daemon):
         self.keeper = daemon.keeper
+        self.quarantine = daemon.quarantine
         self.page = StatusPage(daemon)
         reports = {"status": self.page.status, "burn": self.page.burn}
         self.reports = FleetReports(daemon.membership, daemon.links, reports)
@@ -27,11 +29,15 @@
             "/fleet/status": self.fleet,
             "/fleet/burn": self.fleet_burn,
             "/policy": self.policy,
+            "/quarantine": self.held_back,
         }
 
     def writes(self):
         """Return, by path, what takes the content of a request."""
-        return {"/configuration/patches": self.take_patches}
+        return {
+            "/configuration/patches": self.take_patches,
+            "/quarantine/lift": self.lift,
+        }
 
     async def status(self, query):
         """Return this daemon's status."""
@@ -57,6 +63,18 @@
         current = self.keeper.current
         return {"version": current.version, "values": current.values}
 
+    async def held_back(self, query):
+        """Return the requests that all daemons hold back."""
+        return {"held": self.quarantine.listed()}
+
+    async def lift(self, content):
+        """Hold a request back no longer, here and at all daemons."""
+        try:
+            lifted = self.quarantine.lift(content.decode())
+        except ValueError:
+            raise ProtocolError("no fingerprint in hexadecimal digits") from None
+        return {"lifted": lifted}
+
     async def take_patches(self, content):
         """Take patches that an operator's command has just committed.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -119,6 +119,9 @@
             connection = await pool.connect()
         except OSError as error:
             self.registry.connect_failed(pool.announcement)
+            # The call that ended it may have been given up before it did.
+            if self.ends.lost:
+                self.ends.look(pool)
             raise CallError(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
         self.registry.connected()
         return connection
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -4,10 +4,12 @@
 import unittest
 
 from papayabay_bench.fleet import Fleet, FleetPlan, ServicePlan
+from papayabay_bench.fleet.documents import CLUSTER
 from papayabay_bench.history.system import TIMING
 from papayabay_bench.load.client import kind_of
 from papayabay_bench.targets.records import End, read_records
 from papayabay_bench.targets.specification import CallPath, ServiceTime
+from tests.functional.cli_support import CliCase
 
 SERVICE = "orders-svc"
 DEADLY = "/deadly/7"
@@ -16,6 +18,7 @@
 TRIES = 12
 PAUSE_S = 1.0
 CALLERS = 8
+BOUND_S = 20.0
 CONTACT_S = 3.0
 """How long what one daemon has seen may take to be known to all."""
 POLICY = {
@@ -40,25 +43,11 @@
     return FleetPlan(services=[service], entries=1, seed=5, timing=TIMING)
 
 
-class CrashingRequestTests(unittest.IsolatedAsyncioTestCase):
-    """One request ended all targets of its service every few seconds.
-
-    Symptom: callers of one service, and of those that call it, were refused
-    for seconds at a time; 18 targets ended under one request, 10 of them
-    seconds after it had ended the third.
-
-    Sequence: the request ends the target that runs it, is sent to the next
-    one, and ends that too. It comes again, by another entry and under another
-    identifier, as soon as the targets are back.
-
-    Cause: nothing remembered a request beyond one attempt of its caller. A
-    target's end was taken for bad luck of that target, which is a reason to
-    try the next one.
-
-    Proof: with `decisions.quarantine` off it ends all targets each time.
-    """
+class QuarantineCase(CliCase):
+    """Starts the fleet, with an entry beside no target."""
 
     async def asyncSetUp(self):
+        await super().asyncSetUp()
         self.fleet = await self.enterAsyncContext(Fleet(fleet_plan()))
         await self.fleet.wait_members()
         await self.fleet.wait_version(await self.fleet.apply(POLICY))
@@ -79,6 +68,25 @@
             content = await answer.read()
         return answer.status, kind_of(answer, content) if answer.status >= 400 else ""
 
+
+class CrashingRequestTests(QuarantineCase):
+    """One request ended all targets of its service every few seconds.
+
+    Symptom: callers of one service, and of those that call it, were refused
+    for seconds at a time; 18 targets ended under one request, 10 of them
+    seconds after it had ended the third.
+
+    Sequence: the request ends the target that runs it, is sent to the next
+    one, and ends that too. It comes again, by another entry and under another
+    identifier, as soon as the targets are back.
+
+    Cause: nothing remembered a request beyond one attempt of its caller. A
+    target's end was taken for bad luck of that target, which is a reason to
+    try the next one.
+
+    Proof: with `decisions.quarantine` off it ends all targets each time.
+    """
+
     async def browse(self, number):
         """Call as others do, each time with another path, until stopped."""
         turn = 0
@@ -114,5 +122,37 @@
         self.assertNotIn("quarantined", {kind for _, kind in self.found})
 
 
+class OperatorTests(QuarantineCase):
+    async def send_until(self, kind):
+        """Send the request by any entry until it ends as it should."""
+        async with asyncio.timeout(BOUND_S):
+            while (await self.call(self.entries[-1], DEADLY))[1] != kind:
+                await asyncio.sleep(0.1)
+
+    async def test_operators_see_and_lift_what_is_held_back(self):
+        url = self.fleet.door(self.entries[0], "status_port")
+        self.settings = self.write(
+            "papayabay.toml",
+            f'status_urls = ["{url}"]\ncluster_secret = "{CLUSTER["secret"]}"\n'
+            f"[platform]\n"
+            f'table_url = "{self.fleet.platform_url}/table"\n'
+            f'object_url = "{self.fleet.platform_url}/objects"\n',
+        )
+        await self.send_until("quarantined")
+        listed = await self.run_cli("quarantine", "list", "--json")
+        self.assertEqual(listed.code, 0, listed.err)
+        (held,) = listed.values["held"]
+        self.assertGreaterEqual(held["targets_ended"], 2)
+        shown = await self.run_cli("quarantine", "list")
+        self.assertIn(held["fingerprint"], shown.out)
+        lifted = await self.run_cli("quarantine", "lift", held["fingerprint"])
+        self.assertEqual(lifted.code, 0, lifted.err)
+        await self.send_until("target-lost")
+        for wrong in ("00" * 16, "no-digits"):
+            refused = await self.run_cli("quarantine", "lift", wrong)
+            self.assertNotEqual(refused.code, 0)
+            self.assertTrue(refused.err)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/daemon/test_target_ends.py
+++ b/tests/unit/daemon/test_target_ends.py
@@ -64,6 +64,24 @@
         line = self.logged.records[-1].message
         self.assertIn("target p1 of svc has ended with 2 calls at work: r1=", line)
 
+    async def test_an_end_under_a_call_that_was_given_up_is_found_out(self):
+        """Its caller left first, and nobody else lost anything.
+
+        Symptom: a request goes on ending targets that its callers leave
+        early. Sequence: the caller leaves; the target ends; the next call
+        finds its port closed. Cause: only calls that broke off were asked
+        about.
+        """
+        waiting = asyncio.create_task(self.client.run(call(path="/waits"), "t0"))
+        await bounded(self.dying.target.arrived.wait())
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.dying.target.server.close()
+        await self.fails(ErrorKind.TARGET_UNREACHABLE, call(path="/next"))
+        await bounded(self.client.ends.looking)
+        (end,) = self.ends
+        self.assertEqual(len(end.calls), 1)
+
     async def test_a_lost_answer_is_no_end(self):
         waiting = await self.fail_beside("/lost")
         await bounded(self.client.ends.looking)
