Show what a store that comes back from an older copy does, by failing tests

Cause: reproduced, not yet mended. Versions of rows are taken for growing, and what was written for kept. Conclusion: the store client needs a notion of eras.

--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -16,6 +16,8 @@
         Status that every call is answered with; 0 while it serves.
     calls : dict of str to int
         How often each path was called.
+    era : int
+        Told in every answer; 0 for a store that tells none.
     """
 
     def __init__(self):
@@ -24,6 +26,7 @@
         self.changed = asyncio.Condition()
         self.failing = 0
         self.calls = {}
+        self.era = 0
         self.runner = None
         self.port = 0
 
@@ -50,7 +53,22 @@
         self.calls[request.path] = self.calls.get(request.path, 0) + 1
         if self.failing:
             return web.Response(status=self.failing)
-        return await handler(request)
+        response = await handler(request)
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
+    def copy(self):
+        """Return what the store holds now."""
+        return dict(self.rows), self.version
+
+    async def restore(self, copy):
+        """Come back from an older copy; what was written since is gone."""
+        async with self.changed:
+            rows, self.version = copy
+            self.rows = dict(rows)
+            self.era += 1
+            self.changed.notify_all()
 
     async def put(self, table, key, values):
         """Write a row as the operator does."""
@@ -80,6 +98,8 @@
 
     async def feed_rows(self, request):
         table, after = request.query["table"], int(request.query["after"])
+        if after > self.version:
+            return web.Response(status=410)
 
         def news():
             return [
