Compare the store's versions within one era only

What operators saw: after the store came back from an older copy, daemons kept to different configurations for good, and a row was overwritten that nobody had read. Cause: versions were taken for growing. The store gives them out again after it was restored, so that changes after the last one seen leave out what came between, and a condition holds for other content. Change: each answer's era is noted before anything of it is used. Why it holds: no version leaves the adapter without its era. Conclusion: what was lost is not written again yet.

--- a/packages/papayabay-core/src/papayabay_core/platform/__init__.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/__init__.py
@@ -1,5 +1,6 @@
 """The platform's table service and object store, as papayabay uses them."""
 
+from papayabay_core.platform.era import StoreEra
 from papayabay_core.platform.object_client import HttpObjectStore
 from papayabay_core.platform.protocols import ObjectStore, Put, Row, TableService
 from papayabay_core.platform.table_client import HttpTableService
@@ -10,5 +11,6 @@
     "ObjectStore",
     "Put",
     "Row",
+    "StoreEra",
     "TableService",
 ]
--- a/packages/papayabay-core/src/papayabay_core/platform/protocols.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/protocols.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from papayabay_core.platform.era import StoreEra
+
 
 @dataclass(frozen=True, slots=True)
 class Row:
@@ -15,7 +17,8 @@
     value : dict
         Plain JSON values.
     revision : int
-        Grows with each write of this row; 1 after its insert.
+        Grows with each write of this row, also when the store came back from
+        an older copy in between; above 0.
     """
 
     key: str
@@ -47,8 +50,15 @@
 
     Every method raises `PlatformError` when it certainly had no effect,
     and `PlatformAmbiguous` when a write may or may not have been applied.
+
+    Attributes
+    ----------
+    era : StoreEra
+        Never changes where the store can't come back from an older copy.
     """
 
+    era: StoreEra
+
     async def get(self, key: str) -> Row | None:
         """Return a row, or None."""
 
--- a/packages/papayabay-core/src/papayabay_core/platform/table_client.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/table_client.py
@@ -23,6 +23,7 @@
         self.rows_url = f"{base}/rows"
         self.transaction_url = f"{base}/transaction"
         self.transport = PlatformTransport(settings)
+        self.era = self.transport.era
 
     async def get(self, key):
         """Return a row, or None.
--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -6,6 +6,7 @@
 from papayabay_core.calls import SERVER_ERROR
 from papayabay_core.exceptions import PlatformAmbiguous, PlatformError
 from papayabay_core.http.requester import NotSent, Requester
+from papayabay_core.platform.era import StoreEra
 
 CONNECTIONS = 32
 """Requests under way at once; the platform's services take some hundreds of
@@ -28,9 +29,15 @@
     Parameters
     ----------
     settings : PlatformSettings
+    era : StoreEra or None
+        Of a store that tells its era.
+    era_of : callable or None
+        Takes a `Reply`; returns the era that it tells, or None.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, era=None, era_of=None):
+        self.era = era or StoreEra()
+        self.era_of = era_of
         self.timeout = settings.timeout_ms / 1_000
         self.slots = asyncio.Semaphore(CONNECTIONS)
         self.requester = Requester(
@@ -48,9 +55,16 @@
         query : dict of str to str or None
         """
         try:
-            return await self.exchange("GET", url, query=query)
+            reply = await self.exchange("GET", url, query=query)
         except (OSError, TimeoutError, ValueError) as error:
             raise PlatformError(f"{url}: {describe(error)}") from None
+        self.note_era(reply)
+        return reply
+
+    def note_era(self, reply):
+        """Note an answer's era before anything of it is used."""
+        if self.era_of is not None:
+            self.era.note(self.era_of(reply))
 
     async def write(self, method, url, content=b""):
         """Return the `Reply` to a write that the platform has decided on.
@@ -67,6 +81,7 @@
         PlatformAmbiguous
             Sent, and nobody knows what became of it.
         """
+        sent_in = self.era.current
         try:
             reply = await self.exchange(method, url, content)
         except NotSent as error:
@@ -78,8 +93,26 @@
             raise PlatformAmbiguous(f"{url}: {describe(error)}") from None
         if reply.status >= SERVER_ERROR and reply.status not in NOT_APPLIED:
             raise PlatformAmbiguous(f"{url}: answered {reply.status}")
+        self.note_written(url, reply, sent_in)
         return reply
 
+    def note_written(self, url, reply, sent_in):
+        """Note the era of a write's answer.
+
+        Raises
+        ------
+        PlatformAmbiguous
+            The store came back from an older copy while the write was on its
+            way: it may be among what was lost, or its conditions have held
+            for what they were not meant for.
+        """
+        try:
+            self.note_era(reply)
+        except PlatformError as error:
+            raise PlatformAmbiguous(f"{url}: {error}") from None
+        if sent_in is not None and self.era.current != sent_in:
+            raise PlatformAmbiguous(f"{url}: the store's era has changed")
+
     async def exchange(self, method, url, content=b"", query=None):
         """Send one request and return its `Reply`.
 
--- a/tests/lib/cluster_fakes.py
+++ b/tests/lib/cluster_fakes.py
@@ -4,7 +4,7 @@
 import random
 
 from papayabay_core.exceptions import ConditionFailed, PlatformError, ProtocolError
-from papayabay_core.platform import Row
+from papayabay_core.platform import Row, StoreEra
 from papayabay_core.settings import DaemonSettings
 from papayabay_daemon._internal.links.limits import MAX_PAYLOAD_BYTES
 
@@ -15,6 +15,7 @@
     """A table service that can be down and can hold writes up."""
 
     def __init__(self):
+        self.era = StoreEra()
         self.rows = {}
         self.down = False
         self.writes = 0
--- a/tests/unit/platform/test_operator_versions.py
+++ b/tests/unit/platform/test_operator_versions.py
@@ -2,6 +2,7 @@
 import unittest
 
 from papayabay_core.exceptions import PlatformError, PolicyError
+from papayabay_core.platform import StoreEra
 from papayabay_platform.configuration import OperatorVersions, parse_version
 from papayabay_platform.store import HistoryGone, Page, StoredRow
 
@@ -45,6 +46,7 @@
     """Gives pages in turn; an exception is raised."""
 
     def __init__(self, *pages):
+        self.era = StoreEra()
         self.pages = list(pages)
         self.asked = []
 
--- a/tests/unit/platform/test_store_rows.py
+++ b/tests/unit/platform/test_store_rows.py
@@ -7,6 +7,7 @@
 from hypothesis import given, strategies as st
 
 from papayabay_core.exceptions import PlatformError
+from papayabay_core.platform import StoreEra
 from papayabay_daemon._internal.membership.seeds import parse_seeds
 from papayabay_platform.configuration import OperatorConfiguration
 from papayabay_platform.store import (
@@ -71,6 +72,7 @@
 
         class Client:
             unreadable = UnreadableRows()
+            era = StoreEra()
 
         table = StoreTable(Client())
         for value in (b"", b"\xff", b"[]", b"5", b"[" * 100_000):
