Write again what a store has lost that came back from an older copy

What operators saw: after that and a restart of all, a request that had been held back ended targets again; a daemon that started found nobody until a row was renewed. Cause: who had written a row took it for kept. Change: at a change of era the seeds are looked at by whoever hears of it, and each verdict is written again by the member that keeps its row; daemons tell each other the era, since few speak to the store. Logged and counted. Why it holds: what is in the store is held by living daemons as well, and each of them hears of the era within seconds of the first. Conclusion: claims of keys, on stores of our own protocol, are left: it has no eras.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
@@ -59,6 +59,8 @@
         self.period = period
         self.random = random
         self.exchange_errors = 0
+        self.store_came_back = asyncio.Event()
+        seeds.table.era.listeners.append(self.store_came_back.set)
 
     async def run_seeds(self):
         """Join, then keep the seed row and look for parted members."""
@@ -69,7 +71,8 @@
         log.info("joined with {} live members", self.table.live_count())
         pause = SEED_FIRST_SECONDS
         while True:
-            await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
+            longest = pause * self.random.uniform(0.5, 1.0)
+            await wait_event(self.store_came_back, longest)
             await self.tend_seeds()
             pause = min(REFRESH_SECONDS, pause * 2)
 
@@ -163,10 +166,14 @@
         """Do the row's upkeep when it falls to this daemon, or when alone.
 
         Parts of a cluster that never met, or were parted for longer than
-        the dead are remembered, can only find each other in the rows.
+        the dead are remembered, can only find each other in the rows. A store
+        that has come back from an older copy may have lost them, and who
+        hears of it first looks, whoever's turn it is.
         """
         alone = self.table.live_count() == 1
-        if not alone and not self.seeds.is_writer():
+        lost = self.store_came_back.is_set()
+        self.store_came_back.clear()
+        if not (alone or lost or self.seeds.is_writer()):
             return
         rows = await self.seeds.read()
         others = self.seeds.others(rows or ())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/messages.py
@@ -48,6 +48,8 @@
     cleared : list of (bytes, list of bytes)
         Fingerprints, and the ends that they were cleared of.
     verdicts : list of VerdictMessage
+    era : int
+        Of the store, as far as the sender has heard; 0 for none.
     """
 
     digest: bytes
@@ -55,6 +57,7 @@
     ends: list[EndMessage] = []
     cleared: list[tuple[Name, list[Name]]] = []
     verdicts: list[VerdictMessage] = []
+    era: Annotated[int, Meta(ge=0)] = 0
 
 
 encode = msgspec.msgpack.Encoder().encode
@@ -69,7 +72,7 @@
         raise ProtocolError(f"malformed message: {str(error)[:100]}") from None
 
 
-def describe(book, digest, complete, names=None):
+def describe(book, digest, complete, names=None, era=0):
     """Return what a book holds as a message.
 
     Parameters
@@ -79,6 +82,7 @@
     complete : bool
     names : set of bytes or None
         Ends and fingerprints to tell; None for all.
+    era : int
     """
     at = book.clock()
 
@@ -113,6 +117,7 @@
             for fingerprint, verdict in book.verdicts.items()
             if told(fingerprint)
         ],
+        era,
     )
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/rows.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/rows.py
@@ -40,9 +40,11 @@
         self.outage = Outage(log, "rows of requests held back")
         self.stored = {}
         self.dropped = []
+        self.came_back_at = None
         self.counters = {"rows_read": 0, "rows_written": 0, "store_errors": 0}
         self.wanted = asyncio.Event()
         book.listeners.append(lambda urgent: self.wanted.set())
+        table.era.listeners.append(self.store_came_back)
 
     async def run(self):
         """Write what falls to this daemon, until cancelled."""
@@ -51,6 +53,37 @@
             self.wanted.clear()
             while not await self.keep():
                 await asyncio.sleep(AGAIN_S)
+            self.tell_kept_again()
+
+    def store_came_back(self):
+        """Take no row for kept: the store has come back from an older copy.
+
+        Were they not written again, they would be known to the daemons alone,
+        and to nobody once all have started anew.
+        """
+        self.stored.clear()
+        self.came_back_at = self.book.clock()
+        self.wanted.set()
+
+    def hear_era(self, era):
+        """Take a peer's word for the store's era.
+
+        Few daemons read the store; who keeps a row may never speak to it, and
+        would not hear that the row is gone.
+        """
+        if era > (self.table.era.current or 0):
+            self.table.era.note(era)
+
+    def tell_kept_again(self):
+        """Log, once, that all is in the store again."""
+        if self.came_back_at is None:
+            return
+        log.notice(
+            "{} requests held back are in the store again, {:.1f} s after it came back",
+            len(self.stored),
+            self.book.clock() - self.came_back_at,
+        )
+        self.came_back_at = None
 
     async def read(self):
         """Take in all verdicts; return whether the store could be read."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/spreading.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/spreading.py
@@ -95,9 +95,12 @@
         known = self.digest.current()
         self.take(message)
         own = self.digest.current()
-        if message.digest in (own, known):
-            return encode(describe(self.book, own, self.caught_up, ()))
-        return encode(describe(self.book, own, self.caught_up))
+        return self.message(() if message.digest in (own, known) else None)
+
+    def message(self, names):
+        """Return what is known, or a part of it, as bytes for a peer."""
+        own, era = self.digest.current(), self.rows.table.era.current
+        return encode(describe(self.book, own, self.caught_up, names, era or 0))
 
     async def exchange(self, peer, names=()):
         """Tell a peer some of what is known, and take in what it answers.
@@ -107,8 +110,7 @@
         BookMessage or None
             None when the peer could not be asked.
         """
-        own = self.digest.current()
-        request = encode(describe(self.book, own, self.caught_up, names))
+        request = self.message(names)
         try:
             answer = decode(
                 await self.links.request(peer, TOPIC, request, PEER_SECONDS)
@@ -131,6 +133,7 @@
         self.book.news |= seen
         self.counters["heard"] += bool(heard)
         self.pass_on(heard)
+        self.rows.hear_era(message.era)
 
     # Telling.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -29,6 +29,7 @@
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.keeper.counts),
         "members": partial(member_counters, daemon.membership),
+        "store_eras": lambda: {"changes": daemon.table.era.changes},
         "restarts": partial(restart_counters, daemon),
     }
 
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -133,6 +133,7 @@
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = PlatformStore()
+        self.store.era = 1
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
         await self.store.put("op", "config", CONFIGURATION)
@@ -201,6 +202,35 @@
         self.store.failing = 503
         self.assertTrue(await gone())
 
+    async def test_a_store_that_comes_back_from_an_older_copy_is_caught_up(self):
+        """What was lost is written again, and what is written since is heard.
+
+        The copy has none of papayabay's rows. The store has come to its former
+        version again before anybody asks it.
+        """
+
+        async def seeds_kept():
+            kept = {key for table, key in self.store.rows if table == "papayabay"}
+            return kept >= {"seeds/zone-0", "seeds/zone-1"}
+
+        await self.until(seeds_kept)
+        rows, version = self.store.copy()
+        rows = {name: row for name, row in rows.items() if name[0] != "papayabay"}
+        for _ in range(5):
+            await self.store.put("others", "row", {})
+        await self.store.restore((rows, version))
+        changed = CONFIGURATION | {"version": "r8", "routes": []}
+        await self.store.put("op", "config", changed)
+        for _ in range(9):
+            await self.store.put("others", "row", {})
+
+        async def gone():
+            answers = [await self.ask("/read/1", vm) for vm in range(2)]
+            return [status for status, _, _ in answers] == [404, 404]
+
+        await self.until(gone)
+        await self.until(seeds_kept)
+
     async def test_a_draining_upstream_gets_nothing_new(self):
         """A leaving upstream got work after its report was acknowledged."""
         upstream = self.vms[1].upstream
--- a/tests/unit/daemon/test_membership_joining.py
+++ b/tests/unit/daemon/test_membership_joining.py
@@ -1,5 +1,6 @@
 import asyncio
 from collections import Counter
+from functools import partial
 from unittest import mock
 
 from papayabay_core.platform import Put
@@ -12,6 +13,7 @@
 )
 from papayabay_daemon._internal.membership.seeds import PREFIX
 from tests.lib.cluster_fakes import (
+    BOUND_SECONDS,
     make_settings,
     seeded,
     until,
@@ -27,6 +29,10 @@
 """
 
 
+async def note_write(written):
+    written.set()
+
+
 class EndOfTest(Exception):
     """Ends a loop that has none."""
 
@@ -45,6 +51,23 @@
 class JoiningTest(ClusterTestCase):
     """How daemons find each other."""
 
+    async def test_seeds_that_the_store_has_lost_are_written_again(self):
+        """Whoever starts finds nobody for a minute.
+
+        Sequence: the store comes back from an older copy, without the rows;
+        one daemon hears of it, which is not the one that keeps the row.
+        """
+        self.table.era.note(1)
+        await self.start_many("ab")
+        written = asyncio.Event()
+        async with asyncio.timeout(BOUND_SECONDS):
+            while f"{PREFIX}d1" not in self.table.rows:
+                await asyncio.sleep(0.01)
+            self.table.rows.clear()
+            self.table.before_write = partial(note_write, written)
+            self.table.era.note(2)
+            await written.wait()
+
     async def test_who_restarts_while_the_store_is_away_is_found_at_once(self):
         """A restarted daemon knew nobody for the length of a store outage.
 
--- a/tests/unit/daemon/test_quarantine_fleet.py
+++ b/tests/unit/daemon/test_quarantine_fleet.py
@@ -118,6 +118,22 @@
 
         self.play(4, scenario)
 
+    def test_it_is_written_again_when_the_store_has_lost_it(self):
+        """One daemon alone hears that the store came back from a copy."""
+
+        async def scenario(fleet):
+            fleet.table.era.note(1)
+            await fleet.play(4.0)
+            fleet.table.rows.clear()
+            last = fleet.daemons[-1]
+            await last.spread.answer(
+                encode(describe(last.book, b"other", True, (), era=2)), "any"
+            )
+            await fleet.settle(CONTACT_S)
+
+        fleet = self.play(4, scenario)
+        self.assertEqual(len(fleet.table.rows), 1)
+
     def test_nothing_is_held_back_for_targets_that_end_by_themselves(self):
         """Targets end one after the other, and no request is the cause.
 
