Authenticate requests by client accounts' keys, and name the account to targets

Cause: nothing knew client accounts. A key was passed on to targets, the account was not named to them, and unknown and revoked keys were served.

Change: policy declares accounts with digests of keys and a class; the entry authenticates, removes the key, and the account's name and class go along with the call to the target and down its tree. A request without a key runs only as the call of a live one that it names: an end of life that is the same by chance gives no authority. Keys in plain text never leave the adapter.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -69,6 +69,9 @@
     attempts : int
         Upstreams that may run it, 0 without a bound. Kept by the daemon that
         dispatches the call; it does not travel.
+    account : str
+        Name of the client account that the whole request belongs to; empty
+        without one.
     """
 
     request_id: str
@@ -88,6 +91,7 @@
     attempts: int = 0
     repeated: bool = False
     declared: Importance | None = None
+    account: str = ""
 
     @property
     def own_class(self):
--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -65,6 +65,10 @@
     OUTCOME_UNKNOWN = 33
     STORE_UNAVAILABLE = 34
     INTERNAL = 40
+    UNAUTHENTICATED = 50
+    ACCOUNTS_STALE = 51
+    RATE_LIMITED = 52
+    LIMIT_UNKNOWN = 53
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +184,18 @@
     ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(
         503, _NOT_RUN, Retry.LATER, False, "The platform's store does not answer."
     ),
+    ErrorKind.UNAUTHENTICATED: ErrorAnswer(
+        401, _NOT_RUN, Retry.NEVER, False, "It needs a valid key of an account."
+    ),
+    ErrorKind.ACCOUNTS_STALE: ErrorAnswer(
+        503, _NOT_RUN, Retry.LATER, False, "The accounts known here may be outdated."
+    ),
+    ErrorKind.RATE_LIMITED: ErrorAnswer(
+        429, _NOT_RUN, Retry.LATER, False, "The account is beyond its rate limit."
+    ),
+    ErrorKind.LIMIT_UNKNOWN: ErrorAnswer(
+        503, _NOT_RUN, Retry.LATER, False, "The account's limit can't be checked now."
+    ),
     ErrorKind.INTERNAL: ErrorAnswer(
         500, _UNKNOWN, Retry.SAME_KEY, False, "papayabay itself failed."
     ),
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -5,12 +5,15 @@
 
 from msgspec import Meta
 
+from papayabay_core.account_keys import DIGEST_PATTERN
 from papayabay_core.exceptions import PolicyError
 from papayabay_core.models import InvalidValues, Strict, explain_faults
 
 Milliseconds = Annotated[int, Meta(gt=0, le=3_600_000)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 ServiceName = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
+AccountName = Annotated[str, Meta(pattern=r"^[\x21-\x7e]{1,200}\Z")]
+KeyDigest = Annotated[str, Meta(pattern=DIGEST_PATTERN)]
 CallName = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}\Z")]
 # Methods are compared letter by letter, and all in use are upper case. Were
 # "post" accepted, the call path would never match, and its calls would get
@@ -85,6 +88,7 @@
     deadline_ms: Milliseconds | None = None
     retry_credits: Annotated[int, Meta(ge=0, le=64)] | None = None
     objective: Objective | None = None
+    public: bool = False
 
 
 class ServiceDeclaration(Strict, frozen=True, kw_only=True):
@@ -129,6 +133,22 @@
     latency_ms: Milliseconds | None = None
     attempts: Annotated[int, Meta(ge=1, le=64)] = 2
     retry_credits: Annotated[int, Meta(ge=0, le=64)] = 3
+    public: bool = False
+
+
+class AccountDeclaration(Strict, frozen=True, kw_only=True):
+    """One client account."""
+
+    key_digests: list[KeyDigest] = []
+    importance: Literal["critical", "normal", "sheddable"] | None = None
+    rate_per_s: Annotated[float, Meta(ge=0.0, le=10_000_000.0)] = 0.0
+    burst: Annotated[int, Meta(ge=0, le=100_000_000)] = 0
+
+
+class Authentication(Strict, frozen=True, kw_only=True):
+    """How the keys of client accounts are checked."""
+
+    max_staleness_ms: Milliseconds | None = None
 
 
 class PolicyDocument(Strict, frozen=True, kw_only=True):
@@ -138,6 +158,8 @@
     decisions: Decisions = Decisions()
     services: dict[ServiceName, ServiceDeclaration] = {}
     routes: list[RouteDeclaration] = []
+    authentication: Authentication = Authentication()
+    accounts: dict[AccountName, AccountDeclaration] = {}
 
 
 def validate_policy(values, source):
--- a/packages/papayabay-core/src/papayabay_core/policy/routes.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/routes.py
@@ -100,4 +100,5 @@
         retry_credits=declaration.retry_credits,
         objective=objective,
         attempts=declaration.attempts,
+        public=declaration.public,
     )
--- a/packages/papayabay-core/src/papayabay_core/policy/rule.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/rule.py
@@ -30,6 +30,8 @@
     attempts : int
         Upstreams that may run one such request; 0 leaves that to the
         request's retry credits alone.
+    public : bool
+        Whether requests need no account's key.
     """
 
     service: str
@@ -41,6 +43,7 @@
     retry_credits: int
     objective: Objective | None = None
     attempts: int = 0
+    public: bool = False
 
     @property
     def path_key(self):
--- a/packages/papayabay-core/src/papayabay_core/policy/rules.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/rules.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from papayabay_core.importance import Importance
+from papayabay_core.policy.accounts import AccountTable
 from papayabay_core.policy.document import (
     Admission,
     Decisions,
@@ -55,6 +56,7 @@
             for name, declaration in self.document.services.items()
         }
         self.routes = RouteTable(self.document.routes)
+        self.accounts = AccountTable(self.document.accounts)
 
     @property
     def decisions(self) -> Decisions:
@@ -145,6 +147,7 @@
             else call.retry_credits
         ),
         objective=call.objective,
+        public=call.public,
     )
     pattern, literal_length = compile_template(call.path)
     return CompiledCall(frozenset(call.methods), pattern, literal_length, rule)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -133,7 +133,8 @@
         if incoming.call_token:
             live = self.tree.find(incoming.call_token)
             return await self.run_child(incoming, rule, live)
-        call = self.entry_call(incoming, rule, request_id)
+        account = self.parts.accounts.authenticate(incoming, rule)
+        call = self.entry_call(incoming, rule, request_id, account)
         if not self.parts.policy().decisions.deadlines:
             return await self.run_to_the_end(call, rule)
         return await self.run(call, rule, None)
@@ -200,17 +201,28 @@
         """Dispatch a forwarded call that its gate has let through."""
         return await self.dispatcher.dispatch(call, self.entry_account(call))
 
-    def entry_call(self, incoming, rule, request_id):
+    def entry_call(self, incoming, rule, request_id, account=None):
         """Return the root call of a request.
 
         The class comes from policy alone: a caller's header can't raise it.
+
+        Parameters
+        ----------
+        incoming : Incoming
+        rule : CallRule
+        request_id : str
+        account : Account or None
+            Its class takes precedence over the rule's.
         """
         decisions = self.parts.policy().decisions
         life = entry_deadline(rule, incoming.deadline_ms)
         if not decisions.deadlines:
             life = UNLIMITED_SECONDS
         rank = rank_of(incoming.idempotency_key or request_id)
-        importance, rank = standing_of(rule.importance, rank, decisions.kept_share)
+        declared = rule.importance
+        if account is not None and account.importance is not None:
+            declared = account.importance
+        importance, rank = standing_of(declared, rank, decisions.kept_share)
         return Call(
             request_id=request_id,
             service=incoming.service,
@@ -227,7 +239,8 @@
             idempotency_key=incoming.idempotency_key,
             path_key=rule.path_key,
             attempts=rule.attempts,
-            declared=None if importance is rule.importance else rule.importance,
+            declared=None if importance is declared else declared,
+            account=account.name if account else "",
         )
 
     def count(self, rule, answer, elapsed):
@@ -263,11 +276,31 @@
         """
         if not self.parts.settings.calls.infer_parents:
             return
+        if self.parts.accounts.is_on:
+            self.find_parent(incoming)
+            return
         expires_at = None
         if incoming.deadline_ms is not None:
             expires_at = now() + incoming.deadline_ms / 1_000
         incoming.call_token = self.tree.parent_of(incoming.parent_id, expires_at)
 
+    def find_parent(self, incoming):
+        """Tie a request without a key to the call that it names.
+
+        Such a request runs on the authority of its parent, for which an end of
+        life that happens to be the same is not enough.
+
+        Raises
+        ------
+        CallError
+            CALLER_LEFT for a call whose parent does not run here any more.
+        """
+        if incoming.authorization is not None or not incoming.parent_id:
+            return
+        incoming.call_token = self.tree.parent_of(incoming.parent_id, None)
+        if not incoming.call_token:
+            raise CallError(ErrorKind.CALLER_LEFT, "its parent does not run here")
+
     async def run_child(self, incoming, rule, live):
         """Run a call that the own target makes for a live one."""
         self.parts.counters.outgoing += 1
@@ -303,6 +336,7 @@
             attempts=rule.attempts,
             repeated=parent.repeated,
             declared=parent.declared,
+            account=parent.account,
         )
 
     def debit_repeat(self, live, incoming):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
@@ -42,6 +42,7 @@
             idempotency_key=read_token(control, rules.IDEMPOTENCY_HEADER),
             deadline_ms=read_deadline(control),
             call_token=read_token(control, rules.CALL_HEADER),
+            authorization=control.get(rules.AUTHORIZATION_HEADER),
         )
 
     def render_error(self, error, request_headers=(), effect=None):
@@ -70,6 +71,7 @@
         if effect is not row.effect:
             body = json.dumps({**json.loads(body), "effect": effect.value}).encode()
         headers.append(PROBLEM_TYPE)
+        headers += rules.challenge(row.status)
         if delay_ms:
             headers.append(("Retry-After", str(math.ceil(delay_ms / 1000))))
             headers.append(("Papayabay-Retry-After-Ms", str(delay_ms)))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
@@ -8,7 +8,10 @@
 DEADLINE_HEADER = "papayabay-deadline-ms"
 CALL_HEADER = "papayabay-call"
 IDEMPOTENCY_HEADER = "idempotency-key"
+AUTHORIZATION_HEADER = "authorization"
 VIA = ("Via", "1.1 papayabay")
+UNAUTHORIZED = 401
+BEARER_CHALLENGE = ("WWW-Authenticate", "Bearer")
 
 HOP_BY_HOP = frozenset(
     {
@@ -29,7 +32,14 @@
 
 # Two readers of a repeated one could each take another of its values.
 SINGLE = frozenset(
-    {SERVICE_HEADER, DEADLINE_HEADER, CALL_HEADER, IDEMPOTENCY_HEADER, "host"}
+    {
+        SERVICE_HEADER,
+        DEADLINE_HEADER,
+        CALL_HEADER,
+        IDEMPOTENCY_HEADER,
+        AUTHORIZATION_HEADER,
+        "host",
+    }
 )
 
 NOTED = SINGLE | {"content-length"}
@@ -177,6 +187,11 @@
     return [item for item in headers if item[0].lower() != name]
 
 
+def challenge(status):
+    """Return the fields that a 401 must have (RFC 9110, section 15.5.2)."""
+    return [BEARER_CHALLENGE] if status == UNAUTHORIZED else []
+
+
 def declared_length(headers):
     """Return the value of Content-Length, or None without one."""
     for name, value in headers:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -48,6 +48,7 @@
     host: str = ""
     request_id: str = ""
     parent_id: str = ""
+    authorization: str | None = None
 
 
 class CallerDialect(Protocol):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -58,6 +58,8 @@
         0 to run it, 1 to forward it to the key's home.
     declared : int or None
         Place in `IMPORTANCES` of the class by policy, where it is another.
+    account : str
+        Name of the client account; empty without one.
     """
 
     id: Identifier
@@ -80,6 +82,7 @@
     last: bool
     purpose: int
     declared: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] | None = None
+    account: str = ""
 
 
 class LoadFrame(msgspec.Struct, array_like=True):
@@ -211,6 +214,7 @@
         last=last,
         purpose=purpose,
         declared=None if call.declared is None else int(call.declared),
+        account=call.account,
     )
     try:
         return encode(frame)
@@ -248,6 +252,7 @@
         path_key=frame.path_key,
         repeated=frame.repeated,
         declared=None if frame.declared is None else IMPORTANCES[frame.declared],
+        account=frame.account,
     )
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
@@ -25,6 +25,7 @@
         ErrorKind.REFUSED_BELOW,
         ErrorKind.LIFETIME_TOO_SHORT,
         ErrorKind.RETRIES_SPENT,
+        ErrorKind.RATE_LIMITED,
     }
 )
 CALLER_FAULTS = frozenset(
@@ -35,6 +36,7 @@
         ErrorKind.UNKNOWN_SERVICE,
         ErrorKind.KEY_MISSING,
         ErrorKind.KEY_CONFLICT,
+        ErrorKind.UNAUTHENTICATED,
     }
 )
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -25,6 +25,7 @@
         "store": partial(dict, daemon.gate.claims.counters),
         "doors": partial(door_counters, daemon),
         "quarantine": partial(quarantine_counters, daemon),
+        "accounts": partial(dict, daemon.authenticator.counters),
         "target": partial(dict, daemon.target.ends.counters),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.keeper.counts),
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -10,6 +10,7 @@
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.target.announcement import Announcement
 
+ACCOUNT_FIELD = "Papayabay-Account"
 EFFECT_FIELD = b"papayabay-effect"
 NOT_RUN = b"not-run"
 RETRY_AFTER_MS_FIELD = b"papayabay-retry-after-ms"
@@ -124,9 +125,15 @@
         f"Papayabay-Rank: {call.rank}\r\n"
         f"Papayabay-Credits: {call.credits}\r\n"
         f"Papayabay-Depth: {call.depth}\r\n"
+        f"{account_line(ACCOUNT_FIELD, call)}"
     )
 
 
+def account_line(field, call):
+    """Return the header line that names a call's account, if it has one."""
+    return f"{field}: {call.account}\r\n" if call.account else ""
+
+
 def remaining_ms(call):
     """Return the life left in whole milliseconds; at least 1."""
     return max(int(call.remaining() * 1000), 1)
--- a/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
@@ -5,7 +5,12 @@
     VersionWatcher,
 )
 from papayabay_daemon._internal.doors.body import read_message
-from papayabay_daemon._internal.doors.headers import HOP_BY_HOP, HeaderNames
+from papayabay_daemon._internal.doors.headers import (
+    AUTHORIZATION_HEADER,
+    HOP_BY_HOP,
+    HeaderNames,
+    challenge,
+)
 from papayabay_daemon._internal.doors.incoming import (
     CallerDialect,
     Incoming,
@@ -17,6 +22,7 @@
 from papayabay_daemon._internal.target.dialect import (
     TargetDialect,
     Verdict,
+    account_line,
     encode_head,
     keep_alive_seconds,
     remaining_ms,
@@ -24,6 +30,7 @@
 )
 
 __all__ = [
+    "AUTHORIZATION_HEADER",
     "HOP_BY_HOP",
     "Announcement",
     "CallerDialect",
@@ -34,7 +41,9 @@
     "Verdict",
     "VersionWatch",
     "VersionWatcher",
+    "account_line",
     "bad_request",
+    "challenge",
     "encode_head",
     "json_answer",
     "keep_alive_seconds",
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -2,6 +2,7 @@
 
 import random
 
+from papayabay_daemon._internal.accounts import Authenticator
 from papayabay_daemon._internal.admission import AdmissionInputs, make_admission
 from papayabay_daemon._internal.calls.chains import ChainModel
 from papayabay_daemon._internal.calls.dispatch import Dispatcher
@@ -68,6 +69,7 @@
         self.build_state()
         self.build_decisions()
         self.build_quarantine()
+        self.build_accounts()
         self.build_calls()
         self.build_doors()
         self.build_supervision()
@@ -134,6 +136,10 @@
         self.target.ends.listeners.append(self.target_ended)
         self.target.ends.answer_listeners.append(self.quarantine.answered)
 
+    def build_accounts(self):
+        """Make what knows client accounts."""
+        self.authenticator = Authenticator(self.policy)
+
     def build_calls(self):
         """Make the call flow."""
         self.parts = Parts(
@@ -147,6 +153,7 @@
             target=self.target,
             registry=self.registry,
             quarantine=self.quarantine,
+            accounts=self.authenticator,
             random=self.random,
             latencies=Latencies(),
             log=self.log,
--- a/tests/unit/core/test_errors.py
+++ b/tests/unit/core/test_errors.py
@@ -42,6 +42,10 @@
     "OUTCOME_UNKNOWN": 33,
     "STORE_UNAVAILABLE": 34,
     "INTERNAL": 40,
+    "UNAUTHENTICATED": 50,
+    "ACCOUNTS_STALE": 51,
+    "RATE_LIMITED": 52,
+    "LIMIT_UNKNOWN": 53,
 }
 """Daemons of two releases talk to each other in these. Only add to them."""
 
--- /dev/null
+++ b/tests/unit/daemon/account_support.py
@@ -0,0 +1,48 @@
+"""Requests and policies with client accounts, for tests."""
+
+from types import SimpleNamespace
+
+from papayabay_core.account_keys import digest_key
+from papayabay_core.policy.document import PolicyDocument
+from papayabay_core.policy.rules import Policy
+from papayabay_daemon._internal.doors.headers import end_to_end
+from papayabay_daemon._internal.doors.incoming import Incoming
+
+KEYS = {"small": "key-of-small", "large": "key-of-large"}
+
+
+def account_policy(version=1, **changes):
+    """Return a policy with the accounts of `KEYS`, changed by name."""
+    accounts = {
+        name: {"key_digests": [digest_key(key)]} | changes.get(name, {})
+        for name, key in KEYS.items()
+    }
+    values = {
+        "accounts": accounts,
+        "services": {
+            "svc": {
+                "calls": {
+                    "open": {"methods": ["GET"], "path": "/open", "public": True},
+                    "read": {"methods": ["GET"], "path": "/*"},
+                }
+            }
+        },
+    }
+    return Policy(PolicyDocument.model_validate(values), version)
+
+
+def incoming_with(*fields, dialect, path="/read"):
+    """Return a request read from raw header fields."""
+    request = dialect.read("GET", path, end_to_end(fields, dialect.names))
+    assert isinstance(request, Incoming)
+    return request
+
+
+def rule_of(policy, path="/read"):
+    """Return the rule of a path of the one service."""
+    return policy.rule_for("svc", "GET", path)
+
+
+def live_call(request_id):
+    """Return just what the call tree reads of a call."""
+    return SimpleNamespace(request_id=request_id, credits=0, expires_at=1e12)
--- /dev/null
+++ b/tests/unit/daemon/test_account_authentication.py
@@ -0,0 +1,144 @@
+"""Who calls: keys of client accounts at the entry."""
+
+import unittest
+
+from papayabay_core.calls import Answer
+from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.exceptions import PolicyError
+from papayabay_core.importance import Importance
+from papayabay_core.policy.document import PolicyDocument, validate_policy
+from papayabay_core.policy.rules import Policy
+from papayabay_daemon._internal.accounts import Authenticator
+from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
+from tests.unit.daemon.account_support import (
+    KEYS,
+    account_policy,
+    incoming_with,
+    rule_of,
+)
+
+HOST = (b"Host", b"svc")
+
+
+def authenticated(policy, *fields, path="/read"):
+    """Return the account of a request, and the request."""
+    incoming = incoming_with(HOST, *fields, dialect=OwnCallerDialect(), path=path)
+    authenticator = Authenticator(lambda: policy)
+    account = authenticator.authenticate(incoming, rule_of(policy, path))
+    return account, incoming
+
+
+def bearer(key, scheme=b"Bearer"):
+    return (b"Authorization", scheme + b" " + key.encode())
+
+
+class KeyTests(unittest.TestCase):
+    def refused(self, *fields, path="/read"):
+        with self.assertRaises(CallError) as raised:
+            authenticated(account_policy(), *fields, path=path)
+        return raised.exception
+
+    def test_a_known_key_names_its_account(self):
+        account, _ = authenticated(account_policy(), bearer(KEYS["small"]))
+        self.assertEqual(account.name, "small")
+
+    def test_a_key_is_not_forwarded(self):
+        """Guards against a target, or its log, getting a caller's key."""
+        _, incoming = authenticated(account_policy(), bearer(KEYS["small"]))
+        self.assertNotIn("authorization", dict(lowered(incoming.headers)))
+
+    def test_a_key_is_not_forwarded_on_a_public_path(self):
+        """Guards against a key that is not needed being passed on."""
+        for key in (KEYS["small"], "unknown"):
+            _, incoming = authenticated(account_policy(), bearer(key), path="/open")
+            self.assertNotIn("authorization", dict(lowered(incoming.headers)))
+
+    def test_no_key_and_unknown_keys_are_refused_alike(self):
+        """Guards against an answer that tells a guesser what was wrong."""
+        missing = self.refused()
+        unknown = self.refused(bearer("nobody's"))
+        self.assertEqual(missing.kind, ErrorKind.UNAUTHENTICATED)
+        self.assertEqual(str(missing), str(unknown))
+
+    def test_malformed_fields_are_refused(self):
+        """Guards against fields that two readers could read in two ways."""
+        key = KEYS["small"].encode()
+        for value in (
+            b"",
+            b"Bearer",
+            b"Bearer ",
+            key,
+            b"Basic " + key,
+            b"Bearer " + key + b" " + key,
+            b"Bearer\t" + key,
+            b"Bearer " + key + b",",
+            b"Bearer " + b"a" * 8_192,
+        ):
+            with self.subTest(value=value[:40]):
+                error = self.refused((b"authorization", value))
+                self.assertEqual(error.kind, ErrorKind.UNAUTHENTICATED)
+
+    def test_the_scheme_is_read_in_any_case(self):
+        account, _ = authenticated(account_policy(), bearer(KEYS["large"], b"bEARER"))
+        self.assertEqual(account.name, "large")
+
+    def test_two_keys_are_refused(self):
+        """Guards against a request that acts for two accounts at once."""
+        fields = (HOST, bearer(KEYS["small"]), bearer(KEYS["large"]))
+        with self.assertRaises(ValueError):
+            incoming_with(*fields, dialect=OwnCallerDialect())
+
+    def test_a_public_path_needs_no_key(self):
+        account, _ = authenticated(account_policy(), path="/open")
+        self.assertIsNone(account)
+
+    def test_without_accounts_nothing_is_asked_and_nothing_is_removed(self):
+        policy = Policy(PolicyDocument(services={}), 1)
+        account, incoming = authenticated(policy, bearer("any"))
+        self.assertIsNone(account)
+        self.assertIn("authorization", dict(lowered(incoming.headers)))
+
+    def test_an_account_named_from_outside_is_dropped(self):
+        """Guards against a caller that poses as another account."""
+        fields = ((b"PAPAYABAY-Account", b"large"), bearer(KEYS["small"]))
+        _, incoming = authenticated(account_policy(), *fields)
+        self.assertNotIn("papayabay-account", dict(lowered(incoming.headers)))
+
+
+class AnswerTests(unittest.TestCase):
+    def test_a_401_says_which_scheme_it_wants(self):
+        error = CallError(ErrorKind.UNAUTHENTICATED)
+        answer = OwnCallerDialect().render_error(error)
+        self.assertIsInstance(answer, Answer)
+        self.assertEqual(answer.status, 401)
+        self.assertIn(("WWW-Authenticate", "Bearer"), answer.headers)
+
+
+class PolicyTests(unittest.TestCase):
+    def test_a_key_of_two_accounts_is_refused(self):
+        """Guards against a key whose owner depends on an order of names."""
+        shared = {"key_digests": ["0" * 32]}
+        values = {"accounts": {"a": shared, "b": shared}}
+        with self.assertRaises(PolicyError):
+            Policy(validate_policy(values, "policy"), 1)
+
+    def test_a_key_in_plain_text_is_refused(self):
+        """Guards against a key in version control."""
+        values = {"accounts": {"a": {"key_digests": ["my-secret-key"]}}}
+        with self.assertRaises(PolicyError) as raised:
+            validate_policy(values, "policy")
+        self.assertNotIn("my-secret-key", str(raised.exception))
+
+    def test_an_account_may_have_a_class(self):
+        policy = account_policy(small={"importance": "critical"})
+        classes = {name: a.importance for name, a in policy.accounts.by_name.items()}
+        self.assertEqual(classes, {"small": Importance.CRITICAL, "large": None})
+
+
+def lowered(headers):
+    """Return header fields with their names in lower case."""
+    return [(name.lower(), value) for name, value in headers]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/daemon/test_account_calls.py
@@ -0,0 +1,142 @@
+"""Accounts on the way of a call: its class, its parents, links, targets."""
+
+import unittest
+from types import SimpleNamespace
+
+from papayabay_core.calls import Body, Call
+from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.importance import Importance
+from papayabay_daemon._internal.accounts import Authenticator
+from papayabay_daemon._internal.calls.flow import CallFlow
+from papayabay_daemon._internal.calls.tree import CallTree
+from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
+from papayabay_daemon._internal.links.call_frames import (
+    decode_call,
+    encode_call,
+    read_call_frame,
+)
+from papayabay_daemon._internal.target.dialect import OwnTargetDialect
+from tests.lib.cluster_fakes import make_settings
+from tests.unit.daemon.account_support import (
+    KEYS,
+    account_policy,
+    incoming_with,
+    live_call,
+    rule_of,
+)
+
+
+def flow_of(policy, tree=None):
+    """Return a flow that can make calls, but send none."""
+    settings = make_settings("d1")
+    calls = settings.calls.model_copy(update={"infer_parents": True})
+    parts = SimpleNamespace(
+        policy=lambda: policy,
+        settings=settings.model_copy(update={"calls": calls}),
+        accounts=Authenticator(lambda: policy),
+    )
+    return CallFlow(parts, tree or CallTree(), None, None, None, None, None)
+
+
+def request(*fields, **values):
+    """Return a request for the one service."""
+    host = (b"Host", b"svc")
+    incoming = incoming_with(host, *fields, dialect=OwnCallerDialect())
+    incoming.body = Body()
+    for name, value in values.items():
+        setattr(incoming, name, value)
+    return incoming
+
+
+class EntryTests(unittest.TestCase):
+    def entered(self, **changes):
+        policy = account_policy(**changes)
+        account = policy.accounts.by_name["small"]
+        return flow_of(policy).entry_call(request(), rule_of(policy), "r", account)
+
+    def test_a_class_of_the_account_takes_precedence(self):
+        call = self.entered(small={"importance": "critical"})
+        self.assertEqual(call.importance, Importance.CRITICAL)
+        self.assertEqual(call.own_class, Importance.CRITICAL)
+
+    def test_without_one_the_path_decides(self):
+        self.assertEqual(self.entered().importance, Importance.NORMAL)
+
+    def test_calls_below_belong_to_the_same_account_and_class(self):
+        """Guards against an urgent account whose calls wait further down."""
+        policy = account_policy(small={"importance": "critical"})
+        call = self.entered(small={"importance": "critical"})
+        child = flow_of(policy).child_call(request(), rule_of(policy), call)
+        self.assertEqual(child.account, "small")
+        self.assertEqual(child.importance, Importance.CRITICAL)
+
+
+class ParentTests(unittest.TestCase):
+    """A request without a key runs on the authority of the call it names."""
+
+    def setUp(self):
+        self.tree = CallTree()
+        self.token, self.live = self.tree.begin(live_call("parent"))
+        self.flow = flow_of(account_policy(), self.tree)
+
+    def test_a_call_that_names_a_live_one_is_its_child(self):
+        incoming = request(parent_id="parent")
+        self.flow.infer_parent(incoming)
+        self.assertEqual(incoming.call_token, self.token)
+
+    def test_a_coincidence_of_deadlines_is_no_authority(self):
+        """Guards against a caller without a key that passes for a child."""
+        self.tree.live[self.token].call.expires_at = 1.0
+        self.tree.parents_named = False
+        incoming = request(deadline_ms=0)
+        self.flow.infer_parent(incoming)
+        self.assertEqual(incoming.call_token, "")
+
+    def test_a_child_without_a_parent_is_no_stranger(self):
+        """Guards against a target's call that is told never to come back."""
+        with self.assertRaises(CallError) as raised:
+            self.flow.infer_parent(request(parent_id="gone"))
+        self.assertEqual(raised.exception.kind, ErrorKind.CALLER_LEFT)
+
+    def test_a_caller_with_a_key_is_nobody_s_child(self):
+        """Guards against a key that is not checked for the parent named."""
+        key = (b"Authorization", b"Bearer " + KEYS["small"].encode())
+        incoming = request(key, parent_id="parent")
+        self.flow.infer_parent(incoming)
+        self.assertEqual(incoming.call_token, "")
+
+
+class TravelTests(unittest.TestCase):
+    def call(self, account):
+        return Call(
+            request_id="r",
+            service="svc",
+            method="GET",
+            path="/read",
+            headers=[],
+            body=Body(),
+            importance=Importance.NORMAL,
+            rank=1,
+            depth=0,
+            expires_at=1e12,
+            credits=0,
+            account=account,
+        )
+
+    def test_the_account_travels_between_daemons(self):
+        for name in ("", "small"):
+            frame = encode_call(1, self.call(name), b"", True, 0, 0)
+            call = decode_call(read_call_frame(frame), 0.0)
+            self.assertEqual(call.account, name)
+
+    def test_the_target_is_told_the_account(self):
+        head = OwnTargetDialect().request_head(self.call("small"), "t", None)
+        self.assertIn(b"\r\nPapayabay-Account: small\r\n", head)
+
+    def test_an_anonymous_call_names_none(self):
+        head = OwnTargetDialect().request_head(self.call(""), "t", None)
+        self.assertNotIn(b"account", head.lower())
+
+
+if __name__ == "__main__":
+    unittest.main()
