Accept keys only while the configuration is known to be recent

Cause: a daemon served a key for as long as it had not heard of its revocation, which a daemon that nobody can reach never does.

Change: what the store answers confirms the held version as of the moment of the question. Answers to calls carry the version and the age of its confirmation, which is dated from when the call was sent; offers that nobody asked for date nothing. While policy bounds the age, the readers of a domain have the store confirm the version again at a quarter of it, spread so that the first answer spares the others the question; any other daemon in use asks a reader at 0.45 and the store at 0.6. Keyed requests beyond the bound, less 0.1 s, are refused as not run with a time to come back; so is an unknown key while a newer version is known to exist. A restored store confirms nothing for a second, an unreadable version for good. Checked again before each attempt.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -72,6 +72,9 @@
     account : str
         Name of the client account that the whole request belongs to; empty
         without one.
+    key_digest : str
+        Digest of the key that the request was let in by; empty without one.
+        Kept by the daemon that it entered; it does not travel.
     """
 
     request_id: str
@@ -92,6 +95,7 @@
     repeated: bool = False
     declared: Importance | None = None
     account: str = ""
+    key_digest: str = ""
 
     @property
     def own_class(self):
--- a/packages/papayabay-core/src/papayabay_core/policy/rules.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/rules.py
@@ -7,6 +7,7 @@
 from papayabay_core.policy.accounts import AccountTable
 from papayabay_core.policy.document import (
     Admission,
+    Authentication,
     Decisions,
     PolicyDocument,
     Retries,
@@ -63,6 +64,11 @@
         """How each decision is taken."""
         return self.document.decisions
 
+    @property
+    def authentication(self) -> Authentication:
+        """How keys of client accounts are checked."""
+        return self.document.authentication
+
     def knows(self, service):
         """Return whether the policy names the service."""
         return service in self.calls
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -44,6 +44,7 @@
         answer = None
         while True:
             try:
+                self.parts.accounts.check(call)
                 self.parts.quarantine.check(call)
                 member = self.parts.router.choose(call, attempts.tried)
             except CallError as error:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -133,8 +133,8 @@
         if incoming.call_token:
             live = self.tree.find(incoming.call_token)
             return await self.run_child(incoming, rule, live)
-        account = self.parts.accounts.authenticate(incoming, rule)
-        call = self.entry_call(incoming, rule, request_id, account)
+        identity = await self.parts.accounts.authenticate(incoming, rule)
+        call = self.entry_call(incoming, rule, request_id, identity)
         if not self.parts.policy().decisions.deadlines:
             return await self.run_to_the_end(call, rule)
         return await self.run(call, rule, None)
@@ -201,7 +201,7 @@
         """Dispatch a forwarded call that its gate has let through."""
         return await self.dispatcher.dispatch(call, self.entry_account(call))
 
-    def entry_call(self, incoming, rule, request_id, account=None):
+    def entry_call(self, incoming, rule, request_id, identity=None):
         """Return the root call of a request.
 
         The class comes from policy alone: a caller's header can't raise it.
@@ -211,8 +211,8 @@
         incoming : Incoming
         rule : CallRule
         request_id : str
-        account : Account or None
-            Its class takes precedence over the rule's.
+        identity : Identity or None
+            The class of its account takes precedence over the rule's.
         """
         decisions = self.parts.policy().decisions
         life = entry_deadline(rule, incoming.deadline_ms)
@@ -220,6 +220,7 @@
             life = UNLIMITED_SECONDS
         rank = rank_of(incoming.idempotency_key or request_id)
         declared = rule.importance
+        account = identity.account if identity else None
         if account is not None and account.importance is not None:
             declared = account.importance
         importance, rank = standing_of(declared, rank, decisions.kept_share)
@@ -241,6 +242,7 @@
             attempts=rule.attempts,
             declared=None if importance is declared else declared,
             account=account.name if account else "",
+            key_digest=identity.key_digest if identity else "",
         )
 
     def count(self, rule, answer, elapsed):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/answering.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/answering.py
@@ -37,7 +37,7 @@
         if offer.version > self.state.version.held.version:
             self.note_offer(offer.version, peer)
         else:
-            self.state.hear_confirmation(offer)
+            self.state.receive_confirmation(offer)
         return self.state.own_offer().encode()
 
     async def answer_tail(self, payload, peer):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/keeper.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/keeper.py
@@ -4,6 +4,7 @@
 
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.configuration.answering import Answering
+from papayabay_daemon._internal.configuration.confirming import Confirmer
 from papayabay_daemon._internal.configuration.pulling import Puller
 from papayabay_daemon._internal.configuration.pushing import Pusher
 from papayabay_daemon._internal.configuration.readers import Readers
@@ -50,6 +51,14 @@
         self.puller = Puller(self.state, links, random)
         note_offer = self.puller.note_offer
         self.pusher = Pusher(self.state, links, random, self.readers, note_offer)
+        self.confirmer = Confirmer(
+            self.state,
+            self.store,
+            self.pusher,
+            self.readers,
+            self.puller.offers,
+            random,
+        )
         self.answering = Answering(self.state, links, note_offer)
         members.on_newer_configuration(note_offer)
 
@@ -95,6 +104,7 @@
             group.create_task(self.puller.run())
             group.create_task(self.pusher.run())
             group.create_task(self.pusher.run_confirming())
+            group.create_task(self.confirmer.run())
 
     async def load_first(self):
         """Load from the store; while it is down, from the newest peer."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/messages.py
@@ -1,5 +1,6 @@
 """What daemons say to each other about configuration versions."""
 
+import math
 import struct
 from dataclasses import dataclass
 
@@ -37,10 +38,15 @@
 
     def encode(self):
         """Return the offer as bytes."""
-        age = NEVER if self.age is None else min(NEVER - 1, int(self.age * 1_000))
+        age = NEVER if self.age is None else min(NEVER - 1, whole_ms(self.age))
         return OFFER.pack(age, min(self.version, VERSION_MAX))
 
 
+def whole_ms(seconds):
+    """Return an age in whole milliseconds, never younger than it is."""
+    return math.ceil(seconds * 1_000)
+
+
 def take_offer(content):
     """Return the offer at the start of a message and what follows it.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
@@ -108,9 +108,10 @@
         failure; it would otherwise be asked for again without a pause.
         """
         before = self.state.version.held.version
+        asked_at = self.state.clock()
         try:
             answer = await self.links.request(peer, topic, payload, PEER_SECONDS)
-            offer = await self.take_answer(peer, answer)
+            offer = await self.take_answer(peer, answer, asked_at)
         except UpgradeNeeded as error:
             self.state.version.refuse(error)
         except (ProtocolError, PlatformError, OSError, TimeoutError) as error:
@@ -123,7 +124,7 @@
             return self.state.version.held.version >= min(offer.version, before + 1)
         return False
 
-    async def take_answer(self, peer, answer):
+    async def take_answer(self, peer, answer, asked_at):
         """Take the patches or the whole version that a peer sent."""
         offer, body = take_offer(answer)
         if body[:1] == TAIL:
@@ -133,7 +134,7 @@
             whole = decode_configuration(content, "a peer's version")
             self.state.take_whole(whole)
         if self.state.loaded.is_set():
-            self.state.hear_confirmation(offer)
+            self.state.receive_confirmation(offer, asked_at)
         return offer
 
     async def fetch_rest(self, peer, version, body):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
@@ -72,6 +72,7 @@
 
     async def exchange_offers(self, peer):
         """Return a peer's offer for the own, or None when that fails."""
+        asked_at = self.state.clock()
         payload = self.state.own_offer().encode()
         try:
             answer = await self.links.request(peer, OFFER_TOPIC, payload, PEER_SECONDS)
@@ -81,6 +82,7 @@
             return None
         if offer.version > self.state.version.held.version:
             self.note_offer(offer.version, peer.name)
+        self.state.receive_confirmation(offer, asked_at)
         return offer
 
     async def run_confirming(self):
@@ -94,6 +96,4 @@
         local = self.state.members.local
         readers = [peer for peer in self.readers.current() if peer is not local]
         if readers:
-            offer = await self.exchange_offers(self.random.choice(readers))
-            if offer is not None:
-                self.state.hear_confirmation(offer)
+            await self.exchange_offers(self.random.choice(readers))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
@@ -35,6 +35,7 @@
 
     async def load(self):
         """Load what the store has, if it answers."""
+        asked_at = self.state.clock()
         try:
             async with asyncio.timeout(self.timeout * LOAD_TIMEOUTS):
                 configuration = await self.log.load()
@@ -45,7 +46,7 @@
         else:
             self.state.take_whole(configuration)
             if configuration.confirmed:
-                self.state.confirm(0.0)
+                self.state.confirm(asked_at)
 
     async def run(self):
         """Poll the head while this daemon is a reader of its domain."""
@@ -55,7 +56,7 @@
                 await self.read()
 
     async def read(self):
-        """Read the head, and what follows the held version."""
+        """Read the head, and what follows it; return whether that worked."""
         self.state.counts["store_reads"] += 1
         try:
             async with asyncio.timeout(self.timeout * LOAD_TIMEOUTS):
@@ -64,8 +65,14 @@
             self.state.version.refuse(error)
         except (PlatformError, TimeoutError) as error:
             self.failed(error)
+            return False
         else:
             self.outage.worked()
+        return True
+
+    async def confirm(self):
+        """Have the store confirm the version; return whether it answered."""
+        return await self.read()
 
     async def read_head(self):
         """Compare the head with the held version.
@@ -73,6 +80,7 @@
         A read may be served from an old copy of the row. A head below the
         held version is such a read: it is counted and changes nothing.
         """
+        asked_at = self.state.clock()
         head = await self.log.head()
         held = self.state.version.held.version
         if head < held:
@@ -82,7 +90,7 @@
             patches = await self.log.patches_after(held)
             self.state.take_patches(patches)
         if self.state.version.held.version >= head:
-            self.state.confirm(0.0)
+            self.state.confirm(asked_at)
 
     def failed(self, error):
         """Count a failure of the store."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -42,6 +42,9 @@
         Raises as `load` does, and returns within seconds.
         """
 
+    async def poll(self) -> Configuration | None:
+        """Return a change since the last load at once; None without any."""
+
 
 class VersionWatcher:
     """Loads the newest version, then waits for newer ones.
@@ -67,6 +70,7 @@
         self.random = random
         self.outage = Outage(log, "configuration store")
         self.loaded = False
+        self.newest = 0
         self.pause = FIRST_PAUSE_SECONDS
 
     async def load(self):
@@ -92,9 +96,14 @@
             await asyncio.sleep(self.pause * self.random.uniform(0.5, 1.0))
             self.pause = min(LONGEST_PAUSE_SECONDS, self.pause * 2)
 
+    async def confirm(self):
+        """Have the store confirm the version; return whether it answered."""
+        return await self.read(self.watch.poll if self.newest else self.watch.load)
+
     async def read(self, following):
         """Take what one read brings; return whether the store answered."""
         self.state.counts["store_reads"] += 1
+        asked_at = self.state.clock()
         try:
             configuration = await following()
         except PlatformError as error:
@@ -105,20 +114,22 @@
         except PolicyError as error:
             # The store answered, with something that this release can't
             # read. It stays out of force, and the next change is awaited.
+            self.newest = 0
             self.state.version.refuse(error)
         else:
             if configuration is not None:
                 self.take(configuration)
+            if 0 < self.newest <= self.state.version.held.version:
+                self.state.confirm(asked_at)
         self.loaded = True
         self.pause = FIRST_PAUSE_SECONDS
         self.outage.worked()
         return True
 
     def take(self, configuration):
-        """Take a version, and note that the store vouched for it."""
+        """Take a version, and pass it on if it is newer."""
+        self.newest = configuration.version
         newer = configuration.version > self.state.version.held.version
         self.state.take_whole(configuration)
         if newer:
             self.state.members.tell_configuration(self.readers.followers())
-        if configuration.version == self.state.version.held.version:
-            self.state.confirm(0.0)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -104,6 +104,19 @@
         """Set what answers one topic of control requests."""
 
 
+class Confirmations(Protocol):
+    """How lately the configuration of this daemon was the store's newest."""
+
+    def own_confirmation(self) -> tuple[int, int] | None:
+        """Return the held version and its confirmation's age, milliseconds.
+
+        None where nobody needs to know, or nothing recent is known.
+        """
+
+    def peer_confirmed(self, version: int, age_ms: int, asked_at: float) -> None:
+        """Take over what came with the answer to a call sent at a time."""
+
+
 class Ticket(Protocol):
     """The right to hand one call to the target; given back exactly once."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -106,6 +106,10 @@
         Number of the error kind, 0 for a target's own answer.
     effect : int
         Place in `EFFECTS`.
+    confirmed_version : int
+    confirmed_age_ms : int or None
+        How long ago the store confirmed to the sender, or to one that it
+        heard from, that this was its newest configuration.
     """
 
     id: Identifier
@@ -120,6 +124,8 @@
     headers: bytes
     body: bytes
     last: bool
+    confirmed_version: int = 0
+    confirmed_age_ms: Count | None = None
 
 
 encode = msgspec.msgpack.Encoder().encode
@@ -256,8 +262,18 @@
     )
 
 
-def encode_answer(number, answer, first, last):
-    """Return an answer's frame; parameters as for `encode_call`."""
+def encode_answer(number, answer, first, last, confirmation=None):
+    """Return an answer's frame.
+
+    Parameters
+    ----------
+    number, first, last
+        As for `encode_call`.
+    answer : Answer
+    confirmation : (int, int) or None
+        See `Confirmations.own_confirmation`.
+    """
+    version, age_ms = confirmation or (0, None)
     return encode(
         AnswerFrame(
             id=number,
@@ -272,6 +288,8 @@
             headers=pack_headers(answer.headers),
             body=first,
             last=last,
+            confirmed_version=version,
+            confirmed_age_ms=age_ms,
         )
     )
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
@@ -156,7 +156,8 @@
     def encode(self, number, answer, first, last):
         """Return an answer's frame, or None for one that has no frame."""
         try:
-            frame = encode_answer(number, answer, first, last)
+            confirmation = self.link.owner.confirmations.own_confirmation()
+            frame = encode_answer(number, answer, first, last, confirmation)
         except Exception:
             # Whatever a handler put into its answer, the caller must get
             # an end; a call without one would hang until its lifetime ends.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
@@ -6,6 +6,7 @@
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.links.call_frames import decode_answer, encode_call
 from papayabay_daemon._internal.links.codec import encode_number, encode_request
 from papayabay_daemon._internal.links.lifetime import now_us
@@ -34,6 +35,8 @@
 
     Attributes
     ----------
+    sent_at : float
+        On `clock.now()`.
     answered : asyncio.Future or None
         None once the answer came: a reference from here would keep an
         answer that its caller dropped, and its body's sender, alive.
@@ -45,6 +48,7 @@
         Set once the answer came and its body is streamed.
     """
 
+    sent_at: float
     answered: asyncio.Future | None
     outlet: BodyOutlet | None = None
     pump: asyncio.Task | None = None
@@ -93,7 +97,7 @@
         if not link.send(frame):
             raise unavailable("the link was closing")
         answered = link.loop.create_future()
-        entry = OutgoingCall(answered)
+        entry = OutgoingCall(now(), answered)
         self.calls[number] = entry
         link.note_call(stamped=True)
         link.counters.calls_sent += 1
@@ -158,6 +162,7 @@
         if answered is None or answered.done():
             raise ProtocolError(f"second answer to call {number}")
         answer = decode_answer(message)
+        self.take_confirmation(message, entry.sent_at)
         if message.last:
             self.release(number)
         else:
@@ -167,6 +172,13 @@
         entry.answered = None
         answered.set_result(answer)
 
+    def take_confirmation(self, message, asked_at):
+        """Take over what the peer knows of its configuration's age."""
+        age_ms = message.confirmed_age_ms
+        if age_ms is not None:
+            confirmations = self.link.owner.confirmations
+            confirmations.peer_confirmed(message.confirmed_version, age_ms, asked_at)
+
     def answer_body_ended(self, number, complete):
         """End a call with its answer's body, read whole or given up."""
         self.release(number)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -34,6 +34,17 @@
     topics: dict[str, RequestHandler] = field(default_factory=dict)
 
 
+class NoConfirmations:
+    """The `Confirmations` of a daemon that passes none on."""
+
+    def own_confirmation(self):
+        """Return None."""
+        return None
+
+    def peer_confirmed(self, version, age_ms, asked_at):
+        """Do nothing."""
+
+
 class PeerLinks:
     """Links to other daemons; see `interfaces.Links`.
 
@@ -52,6 +63,7 @@
         self.dialler = Dialler(self, rng or random.Random())
         self.counters = LinkCounters()
         self.limited_log = LimitedLog(log)
+        self.confirmations = NoConfirmations()
         self.handlers = Handlers()
         self.peers = {}
         self.all_links = set()
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -138,7 +138,11 @@
 
     def build_accounts(self):
         """Make what knows client accounts."""
-        self.authenticator = Authenticator(self.policy)
+        self.authenticator = Authenticator(
+            self.policy, self.keeper.confirmer, self.random
+        )
+        self.links.confirmations = self.keeper.state
+        self.table.era.listeners.append(self.keeper.state.store_restored)
 
     def build_calls(self):
         """Make the call flow."""
--- a/tests/unit/daemon/account_support.py
+++ b/tests/unit/daemon/account_support.py
@@ -5,8 +5,10 @@
 from papayabay_core.account_keys import digest_key
 from papayabay_core.policy.document import PolicyDocument
 from papayabay_core.policy.rules import Policy
+from papayabay_daemon._internal.accounts import Authenticator
 from papayabay_daemon._internal.doors.headers import end_to_end
 from papayabay_daemon._internal.doors.incoming import Incoming
+from tests.lib.cluster_fakes import seeded
 
 KEYS = {"small": "key-of-small", "large": "key-of-large"}
 
@@ -31,6 +33,28 @@
     return Policy(PolicyDocument.model_validate(values), version)
 
 
+class SetFreshness:
+    """A `Freshness` that tests set."""
+
+    def __init__(self, fresh=True, behind=False):
+        self.fresh = fresh
+        self.behind = behind
+
+    def is_fresh(self):
+        return self.fresh
+
+    def is_behind(self):
+        return self.behind
+
+    async def ensure_fresh(self):
+        return self.fresh
+
+
+def authenticator_of(policy, freshness=None):
+    """Return an authenticator with a seeded generator."""
+    return Authenticator(lambda: policy, freshness or SetFreshness(), seeded("a"))
+
+
 def incoming_with(*fields, dialect, path="/read"):
     """Return a request read from raw header fields."""
     request = dialect.read("GET", path, end_to_end(fields, dialect.names))
--- a/tests/unit/daemon/test_account_authentication.py
+++ b/tests/unit/daemon/test_account_authentication.py
@@ -1,18 +1,22 @@
 """Who calls: keys of client accounts at the entry."""
 
+import asyncio
 import unittest
+from types import SimpleNamespace
 
+from papayabay_core.account_keys import digest_key
 from papayabay_core.calls import Answer
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import PolicyError
 from papayabay_core.importance import Importance
 from papayabay_core.policy.document import PolicyDocument, validate_policy
 from papayabay_core.policy.rules import Policy
-from papayabay_daemon._internal.accounts import Authenticator
 from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
 from tests.unit.daemon.account_support import (
     KEYS,
+    SetFreshness,
     account_policy,
+    authenticator_of,
     incoming_with,
     rule_of,
 )
@@ -20,12 +24,12 @@
 HOST = (b"Host", b"svc")
 
 
-def authenticated(policy, *fields, path="/read"):
-    """Return the account of a request, and the request."""
+def authenticated(policy, *fields, path="/read", freshness=None):
+    """Return the identity of a request, and the request."""
     incoming = incoming_with(HOST, *fields, dialect=OwnCallerDialect(), path=path)
-    authenticator = Authenticator(lambda: policy)
-    account = authenticator.authenticate(incoming, rule_of(policy, path))
-    return account, incoming
+    authenticator = authenticator_of(policy, freshness)
+    authenticating = authenticator.authenticate(incoming, rule_of(policy, path))
+    return asyncio.run(authenticating), incoming
 
 
 def bearer(key, scheme=b"Bearer"):
@@ -40,7 +44,7 @@
 
     def test_a_known_key_names_its_account(self):
         account, _ = authenticated(account_policy(), bearer(KEYS["small"]))
-        self.assertEqual(account.name, "small")
+        self.assertEqual(account.account.name, "small")
 
     def test_a_key_is_not_forwarded(self):
         """Guards against a target, or its log, getting a caller's key."""
@@ -80,7 +84,7 @@
 
     def test_the_scheme_is_read_in_any_case(self):
         account, _ = authenticated(account_policy(), bearer(KEYS["large"], b"bEARER"))
-        self.assertEqual(account.name, "large")
+        self.assertEqual(account.account.name, "large")
 
     def test_two_keys_are_refused(self):
         """Guards against a request that acts for two accounts at once."""
@@ -105,6 +109,52 @@
         self.assertNotIn("papayabay-account", dict(lowered(incoming.headers)))
 
 
+class FreshnessTests(unittest.TestCase):
+    """Keys of a configuration that may be outdated."""
+
+    def refusal(self, *fields, path="/read", **freshness):
+        with self.assertRaises(CallError) as raised:
+            known = SetFreshness(**freshness)
+            authenticated(account_policy(), *fields, path=path, freshness=known)
+        return raised.exception
+
+    def test_a_known_key_may_have_been_revoked(self):
+        """Guards against a revoked key that runs at a daemon cut off."""
+        error = self.refusal(bearer(KEYS["small"]), fresh=False)
+        self.assertEqual(error.kind, ErrorKind.ACCOUNTS_STALE)
+        self.assertGreater(error.retry_after_ms, 0)
+
+    def test_an_unknown_key_may_be_a_new_one(self):
+        """Guards against a caller that gives up as its key came too soon."""
+        for known in ({"fresh": False}, {"behind": True}):
+            error = self.refusal(bearer("new"), **known)
+            self.assertEqual(error.kind, ErrorKind.ACCOUNTS_STALE)
+
+    def test_a_public_path_is_served_all_the_same(self):
+        known = SetFreshness(fresh=False)
+        identity, _ = authenticated(account_policy(), path="/open", freshness=known)
+        self.assertIsNone(identity)
+
+    def test_a_key_revoked_between_two_attempts_is_refused(self):
+        """Guards against repeats of a request whose key is gone."""
+        policies = [account_policy()]
+        authenticator = authenticator_of(None)
+        authenticator.policy_source = lambda: policies[-1]
+        call = SimpleNamespace(key_digest=digest_key(KEYS["small"]))
+        authenticator.check(call)
+        policies.append(account_policy(small={"key_digests": []}))
+        with self.assertRaises(CallError) as raised:
+            authenticator.check(call)
+        self.assertEqual(raised.exception.kind, ErrorKind.UNAUTHENTICATED)
+
+    def test_a_process_that_was_stopped_checks_again(self):
+        """Guards against a request that was read before a pause."""
+        authenticator = authenticator_of(account_policy(), SetFreshness(fresh=False))
+        with self.assertRaises(CallError) as raised:
+            authenticator.check(SimpleNamespace(key_digest="any"))
+        self.assertEqual(raised.exception.kind, ErrorKind.ACCOUNTS_STALE)
+
+
 class AnswerTests(unittest.TestCase):
     def test_a_401_says_which_scheme_it_wants(self):
         error = CallError(ErrorKind.UNAUTHENTICATED)
--- a/tests/unit/daemon/test_account_calls.py
+++ b/tests/unit/daemon/test_account_calls.py
@@ -6,7 +6,7 @@
 from papayabay_core.calls import Body, Call
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
-from papayabay_daemon._internal.accounts import Authenticator
+from papayabay_daemon._internal.accounts import Identity
 from papayabay_daemon._internal.calls.flow import CallFlow
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.doors.dialect import OwnCallerDialect
@@ -20,6 +20,7 @@
 from tests.unit.daemon.account_support import (
     KEYS,
     account_policy,
+    authenticator_of,
     incoming_with,
     live_call,
     rule_of,
@@ -33,7 +34,7 @@
     parts = SimpleNamespace(
         policy=lambda: policy,
         settings=settings.model_copy(update={"calls": calls}),
-        accounts=Authenticator(lambda: policy),
+        accounts=authenticator_of(policy),
     )
     return CallFlow(parts, tree or CallTree(), None, None, None, None, None)
 
@@ -51,8 +52,8 @@
 class EntryTests(unittest.TestCase):
     def entered(self, **changes):
         policy = account_policy(**changes)
-        account = policy.accounts.by_name["small"]
-        return flow_of(policy).entry_call(request(), rule_of(policy), "r", account)
+        identity = Identity(policy.accounts.by_name["small"], "digest")
+        return flow_of(policy).entry_call(request(), rule_of(policy), "r", identity)
 
     def test_a_class_of_the_account_takes_precedence(self):
         call = self.entered(small={"importance": "critical"})
--- a/tests/unit/daemon/test_dispatch_doubt.py
+++ b/tests/unit/daemon/test_dispatch_doubt.py
@@ -92,6 +92,7 @@
             router=ScriptedRouter(list(ends)[:offered]),
             links=ScriptedLinks(ends),
             counters=CallCounters(),
+            accounts=SimpleNamespace(check=lambda call: None),
             quarantine=SimpleNamespace(check=lambda call: None),
             random=random.Random(1),
             latencies=Latencies(),
--- a/tests/unit/daemon/test_spread_cluster.py
+++ b/tests/unit/daemon/test_spread_cluster.py
@@ -163,10 +163,10 @@
         self.assertEqual((status["version"], status["confirmed"]), (2, False))
         self.assertFalse(status["store_reachable"])
         late.keeper.loaded.set()
-        late.keeper.state.hear_confirmation(Offer(2, 3_600.0))
-        late.keeper.state.hear_confirmation(Offer(1, 0.5))
+        late.keeper.state.receive_confirmation(Offer(2, 3_600.0))
+        late.keeper.state.receive_confirmation(Offer(1, 0.5))
         self.assertFalse(late.keeper.confirmed)
-        late.keeper.state.hear_confirmation(Offer(2, 0.5))
+        late.keeper.state.receive_confirmation(Offer(2, 0.5))
         self.assertTrue(late.keeper.confirmed)
 
     async def test_stale_reads_do_not_go_back(self):
--- a/tests/unit/platform/test_accounts.py
+++ b/tests/unit/platform/test_accounts.py
@@ -41,7 +41,7 @@
         "tenants": [TENANT],
     }
     model = OperatorConfiguration.model_validate(values | changes)
-    return model.configuration({"ratio": 0.2})
+    return model.configuration({"ratio": 0.2}, {})
 
 
 class ConfigurationTests(unittest.TestCase):
--- a/tests/unit/platform/test_operator_versions.py
+++ b/tests/unit/platform/test_operator_versions.py
@@ -54,7 +54,7 @@
         self.asked.append(("read", table, first))
         return self.next()
 
-    async def feed(self, table, after):
+    async def feed(self, table, after, wait_ms):
         self.asked.append(("feed", table, after))
         return self.next()
 
@@ -72,7 +72,7 @@
 class VersionsTest(unittest.IsolatedAsyncioTestCase):
     def versions(self, *pages):
         self.client = FakeClient(*pages)
-        return OperatorVersions(self.client, {"ratio": 0.1})
+        return OperatorVersions(self.client, {"ratio": 0.1}, {})
 
     async def test_a_version_becomes_a_policy(self):
         loaded = await self.versions(page(written(), 5)).load()
--- a/tests/unit/platform/test_store_eras.py
+++ b/tests/unit/platform/test_store_eras.py
@@ -46,7 +46,7 @@
         others write until the store is past 10 again. Cause: changes after 10
         leave that configuration out, and nothing says so.
         """
-        versions = OperatorVersions(self.client, {"ratio": 0.1})
+        versions = OperatorVersions(self.client, {"ratio": 0.1}, {})
         await self.store.put("op", "config", configuration("r5"))
         copy = self.store.copy()
         await self.write_others(9)
