Hold accounts to rate limits over all daemons together

Change: a limit lies in up to four slots, each kept by one daemon, chosen by a consistent hash ring of the members. The entry asks a keeper for a token before a request is given to anything else: near keepers first, none that has said when it will have one, none that did not answer lately. A token that is due within 0.1 s is waited for. Tokens are asked for in advance where an account sends several in 0.25 s by one entry, and granted so while a bucket is more than half full. Buckets start empty once a process knows its fleet. The place of a dead member stays free for 10 s, as it may be cut off and go on granting; after that both sides of a partition grant what part of the fleet they see. The rival, decisions.account_limits = "parts", gives each daemon an equal part.

What it costs is a question between daemons for each limited request.

--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -40,6 +40,7 @@
     outlier_ejection: bool = True
     retry_after: bool = True
     quarantine: bool = True
+    account_limits: Literal["keepers", "parts"] = "keepers"
 
 
 class Admission(Strict, frozen=True, kw_only=True):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -134,6 +134,8 @@
             live = self.tree.find(incoming.call_token)
             return await self.run_child(incoming, rule, live)
         identity = await self.parts.accounts.authenticate(incoming, rule)
+        if identity is not None:
+            await self.parts.limits.take(identity.account)
         call = self.entry_call(incoming, rule, request_id, identity)
         if not self.parts.policy().decisions.deadlines:
             return await self.run_to_the_end(call, rule)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/parts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/parts.py
@@ -6,7 +6,7 @@
 
 from papayabay_core.policy import Policy
 from papayabay_core.settings import DaemonSettings
-from papayabay_daemon._internal.accounts import Authenticator
+from papayabay_daemon._internal.accounts import Authenticator, RateLimits
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.interfaces import (
     Admission,
@@ -68,6 +68,7 @@
     registry: TargetRegistry
     quarantine: QuarantineGate
     accounts: Authenticator
+    limits: RateLimits
     random: random.Random
     latencies: Latencies = field(default_factory=Latencies)
     log: DecisionLog = field(default_factory=DecisionLog)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ipaddress
+import itertools
 
 import logbook
 
@@ -113,6 +114,16 @@
         """Return all members that are not dead, this daemon too."""
         return self.table.live()
 
+    def dead_since(self, at):
+        """Return the members that died after a time and are still dead."""
+        tombstones = reversed(self.table.tombstones.items())
+        recent = itertools.takewhile(lambda item: item[1] > at, tombstones)
+        return [self.table.members[name] for name, _ in recent]
+
+    def dead_count(self):
+        """Return how many members are dead and remembered."""
+        return len(self.table.tombstones)
+
     def on_change(self, callback):
         """Call back with each member whose record changed."""
         self.listeners.append(callback)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -25,7 +25,7 @@
         "store": partial(dict, daemon.gate.claims.counters),
         "doors": partial(door_counters, daemon),
         "quarantine": partial(quarantine_counters, daemon),
-        "accounts": partial(dict, daemon.authenticator.counters),
+        "accounts": partial(account_counters, daemon),
         "target": partial(dict, daemon.target.ends.counters),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.keeper.counts),
@@ -47,6 +47,12 @@
     return {name: count for part in parts for name, count in part.counters.items()}
 
 
+def account_counters(daemon):
+    """Return what was counted of keys, and of tokens taken and granted."""
+    parts = daemon.authenticator, daemon.token_asking, daemon.limit_keeper
+    return {name: count for part in parts for name, count in part.counters.items()}
+
+
 def door_counters(daemon):
     """Return requests and refusals by door."""
     return {
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -2,7 +2,14 @@
 
 import random
 
-from papayabay_daemon._internal.accounts import Authenticator
+from papayabay_daemon._internal.accounts import (
+    Authenticator,
+    EqualParts,
+    KeeperLimiter,
+    KeeperRing,
+    LimitKeeper,
+    RateLimits,
+)
 from papayabay_daemon._internal.admission import AdmissionInputs, make_admission
 from papayabay_daemon._internal.calls.chains import ChainModel
 from papayabay_daemon._internal.calls.dispatch import Dispatcher
@@ -141,6 +148,17 @@
         self.authenticator = Authenticator(
             self.policy, self.keeper.confirmer, self.random
         )
+        self.ring = ring = KeeperRing(self.membership)
+        self.limit_keeper = LimitKeeper(self.policy, ring, self.links)
+        self.token_asking = KeeperLimiter(
+            self.membership.local, ring, self.limit_keeper, self.links, self.random
+        )
+        parts = EqualParts(self.membership)
+        self.limits = RateLimits(
+            self.policy, {"keepers": self.token_asking, "parts": parts}
+        )
+        for kept in (self.limits, self.token_asking, parts):
+            self.keeper.on_change(kept.policy_changed)
         self.links.confirmations = self.keeper.state
         self.table.era.listeners.append(self.keeper.state.store_restored)
 
@@ -158,6 +176,7 @@
             registry=self.registry,
             quarantine=self.quarantine,
             accounts=self.authenticator,
+            limits=self.limits,
             random=self.random,
             latencies=Latencies(),
             log=self.log,
@@ -221,6 +240,7 @@
             Child("metrics", self.metrics.run),
             Child("pause watch", self.pause.run),
             Child("quarantine", self.quarantine_spread.run),
+            Child("keeper ring", self.ring.run),
         ]
         if self.writer is not None:
             children.append(Child("log", self.writer.run))
