--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -91,6 +91,7 @@
                 service=incoming.service,
                 path=rule.path_key if rule else incoming.path,
                 parent=incoming.call_token,
+                account=incoming.account,
                 took_ms=round(elapsed * 1_000, 1),
             )
         if not incoming.request_id:
@@ -135,6 +136,7 @@
             return await self.run_child(incoming, rule, live)
         identity = await self.parts.accounts.authenticate(incoming, rule)
         if identity is not None:
+            incoming.account = identity.account.name
             await self.parts.limits.take(identity.account)
         call = self.entry_call(incoming, rule, request_id, identity)
         if not self.parts.policy().decisions.deadlines:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -35,6 +35,10 @@
     parent_id : str
         That of the request which the own target makes this one for, if the
         caller seems to name it; it may be anything.
+    authorization : str or None
+        Value of its Authorization field; None without one.
+    account : str
+        Name of its client account, once that is known.
     """
 
     service: str
@@ -49,6 +53,7 @@
     request_id: str = ""
     parent_id: str = ""
     authorization: str | None = None
+    account: str = ""
 
 
 class CallerDialect(Protocol):
