Divide only limits that are deep enough, and reserve tokens that are due

Apart from an account whose limit was lowered, accounts of few requests a second met their limit: in four slots of 1.25 tokens each, tokens were lost whenever a slot's own requests paused, and who was refused was told to come back after two seconds, the time of one token of one slot.

Change: a slot holds eight tokens at least, so that a limit of less than 16 at once lies whole with one keeper. A token that is due within 0.1 s is reserved for who asked, in place of a wait after which another could take it.

A small account is without its limit for 10 s when its one keeper dies.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/asking.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/asking.py
@@ -25,7 +25,7 @@
 are asked for in advance."""
 RATE_SECONDS = 1.0
 """Time over which that load is averaged."""
-MAX_WAIT_SECONDS = 0.1
+MAX_WAIT_MS = 100
 """How long a request waits for a token that is due, rather than come back."""
 MAX_HOLD_SECONDS = 1.0
 """How long a keeper without tokens is not asked again at most."""
@@ -123,20 +123,22 @@
         if lease.take(moment):
             self.counters["in_advance"] += 1
             return
-        if await self.ask_keepers(account, lease):
-            return
-        wait = lease.shortest_wait(self.clock())
-        if 0.0 < wait <= MAX_WAIT_SECONDS:
-            await asyncio.sleep(wait)
-            if await self.ask_keepers(account, lease):
-                return
-        self.refuse(lease)
+        if not await self.ask_keepers(account, lease):
+            self.refuse(lease)
 
     async def ask_keepers(self, account, lease):
-        """Return whether one of the keepers granted a token."""
-        for slot, member in self.keepers_to_ask(account, lease):
-            reply = await self.ask(account, slot, member, self.wanted(lease))
+        """Return whether one of the keepers granted a token, once it is due.
+
+        Only the last of them is asked for a token that is not there yet.
+        """
+        keepers = self.keepers_to_ask(account, lease)
+        for number, (slot, member) in enumerate(keepers, 1):
+            max_wait_ms = MAX_WAIT_MS if number == len(keepers) else 0
+            tokens = wanted_tokens(lease)
+            request = TokenRequest(account.name, slot, tokens, max_wait_ms)
+            reply = await self.ask(member, request)
             if self.settle(lease, slot, reply):
+                await asyncio.sleep(reply.wait_ms / 1_000)
                 return True
         return False
 
@@ -146,9 +148,9 @@
             return False
         moment = self.clock()
         if reply.outcome is Outcome.EXHAUSTED:
-            hold = min(reply.retry_ms / 1_000, MAX_HOLD_SECONDS)
+            hold = min(reply.wait_ms / 1_000, MAX_HOLD_SECONDS)
             lease.exhausted_until[slot] = moment + hold
-            lease.retry_ms = reply.retry_ms
+            lease.retry_ms = reply.wait_ms
             return False
         lease.exhausted_until.pop(slot, None)
         lease.keep(reply.granted - 1, moment)
@@ -170,10 +172,6 @@
             lease = self.leases[account.name] = Lease()
         return lease
 
-    def wanted(self, lease):
-        """Return for how many requests to ask: this one, and soon to come."""
-        return 1 + int(lease.rate * LEASE_SECONDS)
-
     def keepers_to_ask(self, account, lease):
         """Return the slots that may have tokens, with their keepers."""
         moment = self.clock()
@@ -192,12 +190,12 @@
         found.sort(key=lambda item: item[1].failure_domain != domain)
         return found
 
-    async def ask(self, account, slot, member, wanted):
+    async def ask(self, member, request):
         """Return a keeper's `TokenReply`, or None when it did not answer."""
         if member is self.local:
-            return self.keeper.grant(account.name, slot, wanted)
+            return self.keeper.grant(request)
         self.counters["asked"] += 1
-        payload = encode(TokenRequest(account.name, slot, wanted))
+        payload = encode(request)
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 answer = await self.links.request(member, TOPIC, payload, ASK_SECONDS)
@@ -219,3 +217,8 @@
         """Forget accounts that policy no longer names."""
         known = policy.accounts.by_name
         self.leases = {name: use for name, use in self.leases.items() if name in known}
+
+
+def wanted_tokens(lease):
+    """Return for how many requests to ask: this one, and soon to come."""
+    return 1 + int(lease.rate * LEASE_SECONDS)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
@@ -56,6 +56,27 @@
         self.tokens -= taken
         return taken
 
+    def reserve(self, at, max_wait):
+        """Take a token that is due soon.
+
+        Parameters
+        ----------
+        at : float
+        max_wait : float
+            Seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds until it may be used; None when none is due by then.
+        """
+        self.refill(at)
+        wait = max(0.0, (1.0 - self.tokens) / self.rate)
+        if wait > max_wait:
+            return None
+        self.tokens -= 1.0
+        return wait
+
     def retry_s(self, at):
         """Return when one who got no token had better come back, seconds.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/keeping.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/keeping.py
@@ -16,6 +16,11 @@
 NOT_KEPT = TokenReply(Outcome.NOT_KEPT)
 
 
+def whole_ms(seconds):
+    """Return a wait in whole milliseconds, never shorter than it is."""
+    return math.ceil(seconds * 1_000)
+
+
 class LimitKeeper:
     """Keeps a bucket for each slot of a limit that falls to this daemon.
 
@@ -52,23 +57,27 @@
     async def answer(self, payload, peer):
         """Answer a peer's question for tokens."""
         request = decode_request(payload)
-        return encode(self.grant(request.account, request.slot, request.wanted))
+        return encode(self.grant(request))
 
-    def grant(self, name, slot, wanted):
-        """Return the `TokenReply` to a question for tokens of a slot."""
-        account = self.policy_source().accounts.by_name.get(name)
+    def grant(self, request):
+        """Return the `TokenReply` to a `TokenRequest`."""
+        account = self.policy_source().accounts.by_name.get(request.account)
+        slot = request.slot
         if account is None or account.limit is None or not self.keeps(account, slot):
             self.counters["not_kept"] += 1
             return NOT_KEPT
         bucket = self.bucket_of(account, slot)
         moment = self.clock()
-        taken = bucket.take(moment, wanted)
+        taken = bucket.take(moment, request.wanted)
         if taken:
             self.counters["granted"] += taken
             return TokenReply(Outcome.GRANTED, taken)
+        wait = bucket.reserve(moment, request.max_wait_ms / 1_000)
+        if wait is not None:
+            self.counters["granted"] += 1
+            return TokenReply(Outcome.GRANTED, 1, whole_ms(wait))
         self.counters["exhausted"] += 1
-        retry_ms = math.ceil(bucket.retry_s(moment) * 1_000)
-        return TokenReply(Outcome.EXHAUSTED, retry_ms=retry_ms)
+        return TokenReply(Outcome.EXHAUSTED, wait_ms=whole_ms(bucket.retry_s(moment)))
 
     def keeps(self, account, slot):
         """Return whether a slot falls to this daemon, and it may grant."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/messages.py
@@ -26,11 +26,21 @@
 
 
 class TokenRequest(msgspec.Struct, array_like=True, frozen=True):
-    """A question for tokens of one slot of an account's limit."""
+    """A question for tokens of one slot of an account's limit.
+
+    Attributes
+    ----------
+    account : str
+    slot : int
+    wanted : int
+    max_wait_ms : int
+        How long the first of them may be waited for.
+    """
 
     account: str
     slot: Annotated[int, Meta(ge=0, le=255)]
     wanted: Annotated[int, Meta(ge=1, le=65_535)]
+    max_wait_ms: Annotated[int, Meta(ge=0, le=10_000)] = 0
 
 
 class TokenReply(msgspec.Struct, array_like=True, frozen=True):
@@ -41,13 +51,13 @@
     outcome : Outcome
     granted : int
         Tokens, spent as far as the keeper is concerned.
-    retry_ms : int
-        When to ask again, for an exhausted slot.
+    wait_ms : int
+        When they may be used; for an exhausted slot, when to come back.
     """
 
     outcome: Outcome
     granted: Count = 0
-    retry_ms: Count = 0
+    wait_ms: Count = 0
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/slots.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/slots.py
@@ -8,6 +8,9 @@
 MAX_SLOTS = 4
 """Keepers that share one limit: without one of them, three quarters of it are
 still granted."""
+MIN_SLOT_DEPTH = 8
+"""Tokens that a slot holds at least where there are several. Those of a
+shallower one would be lost whenever its own requests pause."""
 CACHED_ACCOUNTS = 4_096
 
 
@@ -27,8 +30,8 @@
 
 
 def slot_count(limit):
-    """Return how many slots a limit has; each holds a token at least."""
-    return max(1, min(MAX_SLOTS, limit.burst))
+    """Return how many slots a limit has."""
+    return max(1, min(MAX_SLOTS, limit.burst // MIN_SLOT_DEPTH))
 
 
 def slot_limit(limit, share):
--- a/tests/unit/daemon/limits_fleet.py
+++ b/tests/unit/daemon/limits_fleet.py
@@ -275,6 +275,11 @@
     await fleet.send("a", USUAL, 20.0)
 
 
+async def at_the_limit(fleet):
+    rate = fleet.policy.accounts.by_name["a"].limit.rate_per_s
+    await fleet.send("a", rate, 30.0)
+
+
 async def small(fleet):
     await fleet.send("a", USUAL, 20.0, entries=["vm-0"])
 
--- a/tests/unit/daemon/test_account_limits.py
+++ b/tests/unit/daemon/test_account_limits.py
@@ -33,6 +33,13 @@
             self.assert_held(fleet)
             self.assertLess(fleet.lost("a"), LOST_WHEN_CALM)
 
+    def test_an_account_of_few_requests_may_use_its_limit(self):
+        """Guards against slots too shallow to hold what comes in a moment."""
+        for size in (2, 62):
+            fleet = fleets.play(fleets.at_the_limit, size, a=(6.0, 6))
+            self.assert_held(fleet)
+            self.assertLess(fleet.lost("a"), LOST_WHEN_JUMPING)
+
     def test_an_account_may_use_one_entry_only(self):
         """Guards against an entry that may grant its own part alone."""
         fleet = play(fleets.small, 62)
@@ -123,6 +130,14 @@
         bucket = TokenBucket(10.0, 8.0, 0.0)
         self.assertEqual([bucket.take(100.0, 3) for _ in range(4)], [3, 1, 1, 1])
 
+    def test_a_token_that_is_due_soon_is_reserved(self):
+        """Guards against a wait after which another takes the token."""
+        bucket = TokenBucket(10.0, 5.0, 0.0)
+        waits = [bucket.reserve(0.0, 0.25) for _ in range(3)]
+        self.assertEqual([round(wait, 3) for wait in waits[:2]], [0.1, 0.2])
+        self.assertIsNone(waits[2])
+        self.assertEqual(bucket.take(0.2), 0)
+
     def test_refused_ones_come_back_at_the_rate_of_the_limit(self):
         """Guards against callers that all come back at the same moment."""
         bucket = TokenBucket(10.0, 5.0, 0.0)
@@ -139,7 +154,8 @@
 
 class SlotTests(unittest.TestCase):
     def test_slots_are_together_the_limit(self):
-        for limit in (RateLimit(48.0, 48), RateLimit(3.0, 2), RateLimit(1.0, 1)):
+        limits = RateLimit(48.0, 48), RateLimit(20.0, 17), RateLimit(1.0, 1)
+        for limit in limits:
             account = Account("a", None, limit)
             count = len(slot_positions(account))
             slot = slot_limit(limit, 1.0)
@@ -155,7 +171,7 @@
         request = messages.TokenRequest("a", 3, 2)
         encoded = messages.encode(request)
         self.assertEqual(messages.decode_request(encoded), request)
-        reply = messages.TokenReply(messages.Outcome.EXHAUSTED, retry_ms=70)
+        reply = messages.TokenReply(messages.Outcome.EXHAUSTED, wait_ms=70)
         self.assertEqual(messages.decode_reply(messages.encode(reply)), reply)
 
     def test_malformed_ones_are_refused(self):
