--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limiting.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limiting.py
@@ -1,11 +1,16 @@
 """Holds requests that enter here to the rate limits of their accounts."""
 
+import random
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.policy.accounts import Account
 
+RETURN_SHARE = 0.5
+"""Part of the latency objective after which a caller is asked back at the
+latest: an answer to its repeat may then still be in time."""
+
 
 class Limiter(Protocol):
     """One way of holding all daemons together to a limit."""
@@ -52,11 +57,17 @@
 
     policy_source: object
     limiters: dict[str, Limiter]
+    random: random.Random
     uses: dict[str, AccountUse] = field(default_factory=dict)
 
-    async def take(self, account):
+    async def take(self, account, rule):
         """Take a token for a request of an account, if it has a limit.
 
+        Parameters
+        ----------
+        account : Account
+        rule : CallRule
+
         Raises
         ------
         CallError
@@ -70,11 +81,20 @@
             except CallError as error:
                 if error.kind is ErrorKind.RATE_LIMITED:
                     use.limited += 1
+                    self.ask_back_in_time(error, rule)
                 else:
                     use.unknown += 1
                 raise
         use.allowed += 1
 
+    def ask_back_in_time(self, error, rule):
+        """Let a caller come back while its answer may still be in time."""
+        if rule.objective is None or rule.objective.latency_ms is None:
+            return
+        latest = RETURN_SHARE * rule.objective.latency_ms
+        if error.retry_after_ms > latest:
+            error.retry_after_ms = int(latest * self.random.uniform(0.5, 1.0))
+
     def use_of(self, account):
         """Return what is counted of an account."""
         use = self.uses.get(account.name)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -137,7 +137,7 @@
         identity = await self.parts.accounts.authenticate(incoming, rule)
         if identity is not None:
             incoming.account = identity.account.name
-            await self.parts.limits.take(identity.account)
+            await self.parts.limits.take(identity.account, rule)
         call = self.entry_call(incoming, rule, request_id, identity)
         if not self.parts.policy().decisions.deadlines:
             return await self.run_to_the_end(call, rule)
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -155,7 +155,9 @@
         )
         parts = EqualParts(self.membership)
         self.limits = RateLimits(
-            self.policy, {"keepers": self.token_asking, "parts": parts}
+            self.policy,
+            {"keepers": self.token_asking, "parts": parts},
+            self.random,
         )
         for kept in (self.limits, self.token_asking, parts):
             self.keeper.on_change(kept.policy_changed)
--- a/tests/unit/daemon/test_account_limits.py
+++ b/tests/unit/daemon/test_account_limits.py
@@ -4,10 +4,14 @@
 import os
 import random
 import unittest
+from types import SimpleNamespace
 
+from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
 from papayabay_core.policy.accounts import Account, RateLimit
-from papayabay_daemon._internal.accounts import messages
+from papayabay_core.policy.document import Objective, PolicyDocument
+from papayabay_core.policy.rules import Policy
+from papayabay_daemon._internal.accounts import RateLimits, messages
 from papayabay_daemon._internal.accounts.buckets import TokenBucket
 from papayabay_daemon._internal.accounts.slots import slot_limit, slot_positions
 from tests.unit.daemon import limits_fleet as fleets
@@ -118,6 +122,28 @@
     return day
 
 
+class RefusalTests(unittest.TestCase):
+    def refused(self, retry_ms, latency_ms):
+        class Exhausted:
+            async def take(self, account):
+                raise CallError(ErrorKind.RATE_LIMITED, retry_after_ms=retry_ms)
+
+        policy = Policy(PolicyDocument(), 1)
+        limits = RateLimits(lambda: policy, {"keepers": Exhausted()}, random.Random(1))
+        account = Account("a", None, RateLimit(1.0, 1))
+        objective = latency_ms and Objective(good_share=0.9, latency_ms=latency_ms)
+        with self.assertRaises(CallError) as raised:
+            asyncio.run(limits.take(account, SimpleNamespace(objective=objective)))
+        self.assertEqual(limits.uses["a"].limited, 1)
+        return raised.exception.retry_after_ms
+
+    def test_a_caller_comes_back_while_an_answer_may_be_in_time(self):
+        """Guards against repeats that are let in when they are late."""
+        self.assertTrue(75 <= self.refused(4_000, 300) <= 150)
+        self.assertEqual(self.refused(90, 300), 90)
+        self.assertEqual(self.refused(4_000, None), 4_000)
+
+
 class BucketTests(unittest.TestCase):
     def test_it_is_empty_at_first_and_never_above_its_depth(self):
         bucket = TokenBucket(10.0, 5.0, 100.0)
