Let operators see accounts, and make digests of keys

papayabay accounts list shows class, number of keys, limit and the requests of each account over all daemons, and why keys were refused; accounts digest makes what a policy says in place of a key from standard input. A key, or its digest, is shown nowhere; one test greps all that a run's processes write, of either protocol.

--- /dev/null
+++ b/packages/papayabay-cli/src/papayabay_cli/account_sums.py
@@ -0,0 +1,40 @@
+"""Adds up what daemons report of client accounts."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class AccountSums:
+    """Requests over all daemons that were heard.
+
+    Attributes
+    ----------
+    accounts : dict of str to Counter
+    keys : Counter
+        By how their keys were taken.
+    """
+
+    accounts: dict[str, Counter] = field(default_factory=dict)
+    keys: Counter = field(default_factory=Counter)
+
+    def add(self, report):
+        """Add one report, or the sums of many."""
+        for name, counts in report.get("accounts", {}).items():
+            self.accounts.setdefault(name, Counter()).update(counts)
+        self.keys.update(report.get("keys", {}))
+
+
+def sum_accounts(fleet):
+    """Return the `AccountSums` of a fleet's answer.
+
+    Parameters
+    ----------
+    fleet : dict
+        ``heard`` or ``sums``, as a status door answers.
+    """
+    sums = AccountSums()
+    for report in fleet.get("heard", {}).values():
+        sums.add(report)
+    sums.add(fleet.get("sums", {}))
+    return sums
--- a/packages/papayabay-cli/src/papayabay_cli/commands/__init__.py
+++ b/packages/papayabay-cli/src/papayabay_cli/commands/__init__.py
@@ -13,6 +13,8 @@
     "explain": ("explain", "ExplainCommand"),
     "quarantine list": ("quarantine_list", "QuarantineListCommand"),
     "quarantine lift": ("quarantine_lift", "QuarantineLiftCommand"),
+    "accounts list": ("accounts_list", "AccountsListCommand"),
+    "accounts digest": ("accounts_digest", "AccountsDigestCommand"),
     "report burn": ("report_burn", "ReportBurnCommand"),
 }
 """Command name: module in this package and its class. A class has a
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/__init__.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/__init__.py
@@ -8,9 +8,11 @@
 from papayabay_daemon._internal.accounts.keeping import LimitKeeper
 from papayabay_daemon._internal.accounts.limiting import RateLimits
 from papayabay_daemon._internal.accounts.parts import EqualParts
+from papayabay_daemon._internal.accounts.report import AccountReport
 from papayabay_daemon._internal.accounts.ring import KeeperRing
 
 __all__ = [
+    "AccountReport",
     "Authenticator",
     "EqualParts",
     "Identity",
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/routes.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/routes.py
@@ -2,6 +2,7 @@
 
 from papayabay_core.configuration import decode_patches
 from papayabay_core.exceptions import ProtocolError
+from papayabay_daemon._internal.accounts import AccountReport
 from papayabay_daemon._internal.status.fleet import FleetReports
 from papayabay_daemon._internal.status.page import StatusPage
 
@@ -18,7 +19,12 @@
         self.keeper = daemon.keeper
         self.quarantine = daemon.quarantine
         self.page = StatusPage(daemon)
-        reports = {"status": self.page.status, "burn": self.page.burn}
+        accounts = AccountReport(daemon.authenticator, daemon.limits)
+        reports = {
+            "status": self.page.status,
+            "burn": self.page.burn,
+            "accounts": accounts.values,
+        }
         self.reports = FleetReports(daemon.membership, daemon.links, reports)
 
     def reads(self):
@@ -28,6 +34,7 @@
             "/burn": self.burn,
             "/fleet/status": self.fleet,
             "/fleet/burn": self.fleet_burn,
+            "/fleet/accounts": self.fleet_accounts,
             "/policy": self.policy,
             "/quarantine": self.held_back,
         }
@@ -58,6 +65,10 @@
         """Return the good and bad requests of all daemons."""
         return await self.reports.gather("burn")
 
+    async def fleet_accounts(self, query):
+        """Return the requests of client accounts of all daemons."""
+        return await self.reports.gather("accounts")
+
     async def policy(self, query):
         """Return the policy in force and its version."""
         current = self.keeper.current
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/sums.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/sums.py
@@ -134,9 +134,6 @@
         }
 
 
-SUMS = {"status": StatusSums, "burn": BurnSums}
-
-
 def needs_attention(page):
     """Return whether an operator has something to do about a daemon."""
     configuration = page["configuration"]
@@ -148,6 +145,42 @@
     )
 
 
+class AccountSums:
+    """Requests of client accounts, over daemons."""
+
+    def __init__(self):
+        self.accounts = {}
+        self.keys = Counter()
+
+    def add_reports(self, reports):
+        """Add reports by name; return the causes for the unreadable."""
+        faults = {}
+        for name, report in reports.items():
+            try:
+                self.merge(report)
+            except FAULTS as error:
+                faults[name] = unreadable(error)
+        return faults
+
+    def merge(self, plain):
+        """Add a report, or sums of another part; see `StatusSums.merge`."""
+        accounts = {
+            name: read_counts(counts) for name, counts in plain["accounts"].items()
+        }
+        keys = read_counts(plain["keys"])
+        for name, counts in accounts.items():
+            self.accounts.setdefault(name, Counter()).update(counts)
+        self.keys.update(keys)
+
+    def plain(self):
+        """Return plain values, from which `merge` goes on."""
+        accounts = {name: dict(counts) for name, counts in self.accounts.items()}
+        return {"accounts": accounts, "keys": dict(self.keys)}
+
+
+SUMS = {"status": StatusSums, "burn": BurnSums, "accounts": AccountSums}
+
+
 def read_counts(counts):
     """Return counts by name, each of them a whole number."""
     return {str(name): int(count) for name, count in counts.items()}
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -45,6 +45,7 @@
 retryBudgetRatio = 0.2
 retryWindow = "10s"
 retryBudgetMin = 47
+{bounds}
 """
 CONFIGURATION = {
     "version": "r3",
@@ -88,7 +89,7 @@
 class Vm:
     """One daemon process and the upstream beside it."""
 
-    def __init__(self, number, store, folder):
+    def __init__(self, number, store, folder, bounds=""):
         self.number = number
         self.host = HOSTS[number]
         self.ports = free_ports(self.host)
@@ -102,10 +103,12 @@
                 service=self.service,
                 store=store.port,
                 last=internal + 15,
+                bounds=bounds,
                 **self.ports,
             )
         )
         self.process = None
+        self.output = subprocess.DEVNULL
         self.upstream = Upstream(
             self.service,
             self.host,
@@ -119,7 +122,7 @@
             COMMAND,
             env={**os.environ, "PAPAYABAY_CONFIG": str(self.path)},
             stdin=subprocess.DEVNULL,
-            stdout=subprocess.DEVNULL,
+            stdout=self.output,
         )
 
     def end(self):
