Have one daemon of the fleet ask the store while peers can tell the others

In the 12 s before traffic no answers to calls pass confirmations on, so that all eight readers asked.

Change: a reader asks the fleet's first reader, any other daemon a reader of its domain, and the store only if that brings too little. In virtual time a fleet without requests now makes no more calls than one with them.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/confirming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/confirming.py
@@ -13,6 +13,8 @@
 TURN_SHARE = 0.05
 """Part by which each reader of the fleet waits longer than the one before it;
 the first one's answer reaches the others with the answers to their calls."""
+PEER_SECONDS = 0.3
+"""How long a peer has to answer before the store is asked."""
 MAX_READER_SHARE = 0.4
 JITTER_SHARE = 0.1
 """Part over which all other daemons spread."""
@@ -117,12 +119,29 @@
         return in_use or self.readers.include_local()
 
     async def renew(self):
-        """Ask a reader, else the store; return whether that brought one."""
+        """Ask a peer, else the store; return whether that brought one.
+
+        The fleet's first reader asks the store, the other readers the first
+        one, and all others a reader of their own failure domain.
+        """
         before = self.state.confirmed_at
-        if not self.readers.must_read():
-            await self.pusher.ask_reader()
-            too_old = self.state.staleness() > self.bound * STORE_SHARE
-            if not too_old:
-                return self.state.confirmed_at > before
-        await self.store.confirm()
+        peer = self.peer_to_ask()
+        if peer is not None:
+            await self.pusher.ask_confirmation(peer, PEER_SECONDS)
+        if peer is None or self.is_store_due():
+            await self.store.confirm()
         return self.state.confirmed_at > before
+
+    def peer_to_ask(self):
+        """Return the member that may have a newer confirmation, or None."""
+        if self.readers.include_local():
+            return self.readers.first_of_fleet()
+        others = self.readers.others()
+        return self.random.choice(others) if others else None
+
+    def is_store_due(self):
+        """Return whether what the peer knew leaves the store to be asked."""
+        share = STORE_SHARE
+        if self.readers.must_read():
+            share = self.due_share()
+        return self.state.staleness() >= self.bound * share
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
@@ -1,6 +1,7 @@
 """Offers of the held version to a few peers, and questions for theirs."""
 
 import asyncio
+from contextlib import suppress
 
 from papayabay_core.exceptions import ProtocolError
 from papayabay_daemon._internal.configuration.messages import (
@@ -93,7 +94,12 @@
 
     async def ask_reader(self):
         """Ask one reader how recently the store vouched for its version."""
-        local = self.state.members.local
-        readers = [peer for peer in self.readers.current() if peer is not local]
+        readers = self.readers.others()
         if readers:
             await self.exchange_offers(self.random.choice(readers))
+
+    async def ask_confirmation(self, peer, timeout):
+        """Ask a peer the same, and wait no longer than some seconds."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self.exchange_offers(peer)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -34,6 +34,7 @@
         self.picked_at = 0.0
         self.picked = []
         self.domains = []
+        self.first = None
 
     def current(self):
         """Return the readers; picked anew only when members changed."""
@@ -45,12 +46,20 @@
             self.picked_at = now
             self.picked = self.pick(live)
             self.domains = sorted({member.failure_domain for member in live})
+            self.first = self.pick_first(live)
         return self.picked
 
     def pick(self, live):
         """Return the readers among the live members."""
         return pick_by_rendezvous(self.own(live), PURPOSE, self.count)
 
+    def pick_first(self, live):
+        """Return the first reader of the first failure domain."""
+        first = self.domains[0]
+        members = [member for member in live if member.failure_domain == first]
+        (picked,) = pick_by_rendezvous(members, PURPOSE, 1)
+        return picked
+
     def own(self, live=None):
         """Return the live members of the own failure domain."""
         domain = self.members.local.failure_domain
@@ -72,6 +81,16 @@
         """
         return self.include_local() or self.members.silence() > self.longest_silence
 
+    def others(self):
+        """Return the readers of the own domain but this daemon."""
+        local = self.members.local
+        return [member for member in self.current() if member is not local]
+
+    def first_of_fleet(self):
+        """Return the first reader of all, or None if it is this daemon."""
+        self.current()
+        return None if self.first is self.members.local else self.first
+
     def turn(self):
         """Return the place of this daemon among all readers of the fleet.
 
--- a/tests/unit/daemon/test_confirmations.py
+++ b/tests/unit/daemon/test_confirmations.py
@@ -33,9 +33,17 @@
 class SetReaders:
     """`Readers` that tests set."""
 
-    def __init__(self, reads=False, turn=0):
+    def __init__(self, reads=False, turn=0, first=None, others=()):
         self.reads = reads
         self.own_turn = turn
+        self.first = first
+        self.other_readers = list(others)
+
+    def first_of_fleet(self):
+        return self.first
+
+    def others(self):
+        return self.other_readers
 
     def turn(self):
         return self.own_turn
@@ -189,9 +197,13 @@
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.name = name
-        self.domain = name % DOMAINS
         self.state = make_state(asyncio.get_running_loop().time)
-        readers = SetReaders(name < DOMAINS * READERS, turn=name)
+        readers = SetReaders(
+            name < DOMAINS * READERS,
+            turn=name,
+            first=0 if name else None,
+            others=[name % DOMAINS],
+        )
         self.confirmer = Confirmer(
             self.state, self, self, readers, {}, random.Random(name)
         )
@@ -199,15 +211,14 @@
     async def confirm(self):
         return await self.fleet.store.confirm(self)
 
-    async def ask_reader(self):
-        reader = self.fleet.daemons[self.domain]
-        await self.fleet.ask(self, reader)
+    async def ask_confirmation(self, name, timeout):
+        await self.fleet.ask(self, self.fleet.daemons[name])
 
     async def serve(self):
         """Serve keyed requests, and call others for them."""
         rng = random.Random(f"calls-{self.name}")
         while True:
-            await asyncio.sleep(rng.expovariate(20.0))
+            await asyncio.sleep(rng.expovariate(self.fleet.requests_a_second))
             peer = rng.choice(self.fleet.daemons)
             await self.fleet.ask(self, peer)
             fresh = await self.confirmer.ensure_fresh()
@@ -222,6 +233,7 @@
         self.daemons = [FleetDaemon(self, name) for name in range(FLEET)]
         self.cut = set()
         self.stale = []
+        self.requests_a_second = 20.0
 
     async def ask(self, asker, peer):
         asked_at = asyncio.get_running_loop().time()
@@ -275,6 +287,18 @@
         self.assertEqual(fleet.stale, [])
         self.assertLess(fleet.store.calls, 1.5 * 40.0 / (BOUND_S * 0.25))
 
+    def test_a_fleet_without_requests_asks_no_more_often(self):
+        """Guards against readers that ask each for want of calls."""
+
+        async def idle(fleet):
+            fleet.requests_a_second = 0.01
+            await asyncio.sleep(2.0)
+            fleet.store.calls = 0
+            await asyncio.sleep(40.0)
+
+        fleet = play(idle)
+        self.assertLess(fleet.store.calls, 1.5 * 40.0 / (BOUND_S * 0.25))
+
     def test_a_third_without_the_store_goes_on_by_its_peers(self):
         """Guards against daemons that refuse what peers know to be valid."""
 
