Let only requests that run use up an account's limit

Limits then refused at random what admission refuses by importance.

Change: what would be refused for load is, before it takes a token; the token of a request that has not run serves the account's next one at that entry within a quarter of a second.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/asking.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/asking.py
@@ -126,6 +126,10 @@
         if not await self.ask_keepers(account, lease):
             self.refuse(lease)
 
+    def give_back(self, account):
+        """Keep a token for the next request of the account that comes soon."""
+        self.lease_of(account).keep(1, self.clock())
+
     async def ask_keepers(self, account, lease):
         """Return whether one of the keepers granted a token, once it is due.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
@@ -56,6 +56,10 @@
         self.tokens -= taken
         return taken
 
+    def give_back(self):
+        """Put back a token that was not used."""
+        self.tokens = min(self.depth, self.tokens + 1.0)
+
     def reserve(self, at, max_wait):
         """Take a token that is due soon.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limiting.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limiting.py
@@ -24,6 +24,9 @@
             RATE_LIMITED or LIMIT_UNKNOWN.
         """
 
+    def give_back(self, account: Account) -> None:
+        """Give back the token of a request that has not run."""
+
 
 @dataclass(slots=True)
 class AccountUse:
@@ -75,9 +78,8 @@
         """
         use = self.use_of(account)
         if account.limit is not None:
-            limiter = self.limiters[self.policy_source().decisions.account_limits]
             try:
-                await limiter.take(account)
+                await self.limiter.take(account)
             except CallError as error:
                 if error.kind is ErrorKind.RATE_LIMITED:
                     use.limited += 1
@@ -87,6 +89,16 @@
                 raise
         use.allowed += 1
 
+    @property
+    def limiter(self):
+        """The `Limiter` that policy wants."""
+        return self.limiters[self.policy_source().decisions.account_limits]
+
+    def give_back(self, account):
+        """Give back the token of a request that has not run."""
+        if account.limit is not None:
+            self.limiter.give_back(account)
+
     def ask_back_in_time(self, error, rule):
         """Let a caller come back while its answer may still be in time."""
         if rule.objective is None or rule.objective.latency_ms is None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/parts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/parts.py
@@ -35,6 +35,10 @@
             retry_ms = math.ceil(bucket.retry_s(moment) * 1_000)
             raise CallError(ErrorKind.RATE_LIMITED, retry_after_ms=retry_ms)
 
+    def give_back(self, account):
+        """Give a token back; see `Limiter`."""
+        self.bucket_of(account).give_back()
+
     def bucket_of(self, account):
         """Return the bucket of an account's part."""
         count = len(self.members.live()) + self.members.dead_count()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from papayabay_core.calls import Call
-from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_core.utils.clock import now
 from papayabay_core.utils.identifiers import new_identifier
 from papayabay_daemon._internal.calls.answers import (
@@ -135,10 +135,29 @@
             live = self.tree.find(incoming.call_token)
             return await self.run_child(incoming, rule, live)
         identity = await self.parts.accounts.authenticate(incoming, rule)
-        if identity is not None:
-            incoming.account = identity.account.name
-            await self.parts.limits.take(identity.account, rule)
         call = self.entry_call(incoming, rule, request_id, identity)
+        if identity is None:
+            return await self.run_root(call, rule)
+        incoming.account = identity.account.name
+        return await self.run_limited(call, rule, identity.account)
+
+    async def run_limited(self, call, rule, account):
+        """Run a caller's request if its account is within its limit.
+
+        One that would be refused for load anyway takes no token, and the token
+        of one that has not run is given back: else the repeats of an overload
+        would use up the limits of accounts that are served little.
+        """
+        if account.limit is not None:
+            self.parts.router.check(call)
+        await self.parts.limits.take(account, rule)
+        answer = await self.run_root(call, rule)
+        if answer.effect is Effect.NOT_RUN:
+            self.parts.limits.give_back(account)
+        return answer
+
+    async def run_root(self, call, rule):
+        """Run the root call of a request."""
         if not self.parts.policy().decisions.deadlines:
             return await self.run_to_the_end(call, rule)
         return await self.run(call, rule, None)
