Rename the quarantine's parts by the field's terms

No change of behaviour but one: rows cache their owners until members change, where each was hashed against every member once a second. EndWatch is CrashDetector, QuarantineBook QuarantineRegistry, verdicts are entries with a TTL, ends are crashes, clearing is exonerating, news are pending updates, and telling is propagation. Names in metrics, logs, rows and messages stay. Comments give a reason in plain terms, and no history.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/__init__.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/__init__.py
@@ -1,15 +1,15 @@
-"""Requests that end the targets which run them, and keeping them away."""
+"""Quarantine of requests that crash the targets which run them."""
 
-from papayabay_daemon._internal.quarantine.book import QuarantineBook
 from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
 from papayabay_daemon._internal.quarantine.gate import QuarantineGate
+from papayabay_daemon._internal.quarantine.propagation import QuarantinePropagation
+from papayabay_daemon._internal.quarantine.registry import QuarantineRegistry
 from papayabay_daemon._internal.quarantine.rows import QuarantineRows
-from papayabay_daemon._internal.quarantine.spreading import QuarantineSpread
 
 __all__ = [
     "Fingerprints",
-    "QuarantineBook",
     "QuarantineGate",
+    "QuarantinePropagation",
+    "QuarantineRegistry",
     "QuarantineRows",
-    "QuarantineSpread",
 ]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/gate.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/gate.py
@@ -1,4 +1,4 @@
-"""Where requests that are held back, or suspected, are kept from targets."""
+"""Refuses quarantined requests, and runs suspects one at a time."""
 
 import hashlib
 from contextlib import contextmanager
@@ -6,37 +6,37 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
 
-END_BYTES = 8
+CRASH_ID_BYTES = 8
 ISOLATED_RETRY_MS = 300
 """When a suspect may come back that found another one running."""
 
 
 class QuarantineGate:
-    """Refuses requests by what the book says of them.
+    """Admission control by the quarantine registry.
 
-    Asked where a request enters, which is cheap, and beside the target, which
-    is the last place: only one that neither daemon has heard of passes.
+    Checked at the entry, where a refusal is cheapest, and beside the target,
+    whose daemon may have received an update that the entry has not.
 
     Parameters
     ----------
     settings : DaemonSettings
-    book : QuarantineBook
+    registry : QuarantineRegistry
     log : DecisionLog
     is_on : callable
-        Says whether policy wants requests held back.
+        Returns whether policy has quarantine enabled.
     """
 
-    def __init__(self, settings, book, log, is_on):
+    def __init__(self, settings, registry, log, is_on):
         self.vm = settings.vm.name
         self.fingerprints = Fingerprints(settings)
-        self.book = book
+        self.registry = registry
         self.log = log
         self.is_on = is_on
         self.alone = None
         self.counters = {"refused": 0, "isolated": 0}
 
     def check(self, call):
-        """Let a call pass unless its request is held back.
+        """Admit a call unless its request is quarantined.
 
         Returns
         -------
@@ -46,26 +46,27 @@
         Raises
         ------
         CallError
-            QUARANTINED, with the time that is left.
+            QUARANTINED, with the remaining TTL.
         """
-        if self.book.is_empty or not self.is_on():
+        if self.registry.is_empty or not self.is_on():
             return None
         fingerprint = self.fingerprints.of(call)
-        held_s = self.book.held_for(fingerprint)
-        if not held_s:
+        ttl_s = self.registry.remaining_ttl(fingerprint)
+        if not ttl_s:
             return fingerprint
         self.counters["refused"] += 1
-        ends = self.book.verdicts[fingerprint].open_ends
-        self.note(call, fingerprint, "held back", ends)
-        detail = f"{ends} targets have ended under it; held back as {fingerprint.hex()}"
-        raise CallError(ErrorKind.QUARANTINED, detail, round(held_s * 1_000))
+        crashes = self.registry.entries[fingerprint].crash_count
+        self.note(call, fingerprint, "held back", crashes)
+        name = fingerprint.hex()
+        detail = f"{crashes} targets have ended under it; held back as {name}"
+        raise CallError(ErrorKind.QUARANTINED, detail, round(ttl_s * 1_000))
 
     @contextmanager
     def passing(self, call):
-        """Let a call on to the target beside this daemon, suspects one by one.
+        """Admit a call to the target, suspects one at a time.
 
-        Two suspects that run side by side would both be blamed for the next
-        end, and neither could be told from the other.
+        Of two suspects in flight together, a crash could not show which one
+        caused it.
 
         Raises
         ------
@@ -73,13 +74,13 @@
             QUARANTINED, or ISOLATED while another suspect runs.
         """
         fingerprint = self.check(call)
-        if fingerprint is None or not self.book.is_suspect(fingerprint):
+        if fingerprint is None or not self.registry.is_suspect(fingerprint):
             yield
             return
         if self.alone is not None:
             self.counters["isolated"] += 1
-            ends = len(self.book.blamed_for(fingerprint))
-            self.note(call, fingerprint, "another suspect runs", ends)
+            crashes = len(self.registry.suspected_crashes(fingerprint))
+            self.note(call, fingerprint, "another suspect runs", crashes)
             raise CallError(ErrorKind.ISOLATED, retry_after_ms=ISOLATED_RETRY_MS)
         self.alone = fingerprint
         try:
@@ -87,53 +88,53 @@
         finally:
             self.alone = None
 
-    def note(self, call, fingerprint, outcome, ends):
-        """Write why a call was refused."""
+    def note(self, call, fingerprint, outcome, crashes):
+        """Log why a call was refused."""
         self.log.note(
             "quarantine",
             call.request_id,
             outcome=outcome,
             fingerprint=fingerprint.hex(),
-            ends=ends,
-            held_ms=round(self.book.held_for(fingerprint) * 1_000),
+            ends=crashes,
+            held_ms=round(self.registry.remaining_ttl(fingerprint) * 1_000),
         )
 
     def answered(self, call):
-        """Note that a call got a whole answer from its target."""
-        if not self.book.is_empty:
-            self.book.clear(self.fingerprints.of(call))
-
-    def target_ended(self, end):
-        """Note a target's end and what was at work in it."""
-        begun = {}
-        for work in end.calls:
-            before = begun.get(work.fingerprint, work.begun)
-            begun[work.fingerprint] = max(before, work.begun)
-        self.book.add_end(self.name_of(end), begun)
-
-    def name_of(self, end):
-        """Return a name of the process that ended, no other one's."""
-        text = "\0".join((self.vm, *map(str, end.process)))
-        return hashlib.blake2b(text.encode(), digest_size=END_BYTES).digest()
+        """Exonerate the request of a call that got a whole answer."""
+        if not self.registry.is_empty:
+            self.registry.exonerate(self.fingerprints.of(call))
+
+    def target_crashed(self, crash):
+        """Record a crash of the target and the calls in flight."""
+        started = {}
+        for call in crash.calls:
+            before = started.get(call.fingerprint, call.started_at)
+            started[call.fingerprint] = max(before, call.started_at)
+        self.registry.add_crash(self.crash_id(crash), started)
+
+    def crash_id(self, crash):
+        """Return a unique identifier of the process that crashed."""
+        text = "\0".join((self.vm, *map(str, crash.process)))
+        return hashlib.blake2b(text.encode(), digest_size=CRASH_ID_BYTES).digest()
 
     def levels(self):
-        """Return how much is held back, for metrics."""
-        return self.book.levels()
+        """Return the registry's levels, for metrics."""
+        return self.registry.levels()
 
     def listed(self):
-        """Return the requests that are held back, as plain values."""
+        """Return the quarantined requests as plain values."""
         return [
             {
                 "fingerprint": fingerprint.hex(),
-                "targets_ended": verdict.open_ends,
-                "held_s": round(held_s, 1),
+                "targets_ended": entry.crash_count,
+                "held_s": round(ttl_s, 1),
             }
-            for fingerprint, verdict in self.book.verdicts.items()
-            if (held_s := self.book.held_for(fingerprint))
+            for fingerprint, entry in self.registry.entries.items()
+            if (ttl_s := self.registry.remaining_ttl(fingerprint))
         ]
 
     def lift(self, text):
-        """Hold a request back no longer; return whether it was.
+        """Release a request; return whether it was quarantined.
 
         Parameters
         ----------
@@ -145,4 +146,4 @@
         ValueError
             When it is no such text.
         """
-        return self.book.clear(bytes.fromhex(text))
+        return self.registry.exonerate(bytes.fromhex(text))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/messages.py
@@ -1,4 +1,4 @@
-"""What daemons tell each other of ends and of requests held back."""
+"""Messages in which daemons replicate the quarantine registry."""
 
 import hashlib
 from operator import itemgetter
@@ -8,114 +8,114 @@
 from msgspec import Meta
 
 from papayabay_core.exceptions import ProtocolError
-from papayabay_daemon._internal.quarantine.records import EndRecord, Verdict
+from papayabay_daemon._internal.quarantine.records import CrashRecord, QuarantineEntry
 
 TOPIC = "quarantine"
 DIGEST_BYTES = 8
-MOST_AGE_MS = 2**40
+MAX_AGE_MS = 2**40
 Name = Annotated[bytes, Meta(min_length=1, max_length=32)]
-Age = Annotated[int, Meta(ge=0, le=MOST_AGE_MS)]
+Age = Annotated[int, Meta(ge=0, le=MAX_AGE_MS)]
 
 
-class EndMessage(msgspec.Struct, array_like=True):
-    """An end; see `EndRecord`."""
+class CrashMessage(msgspec.Struct, array_like=True):
+    """A crash; see `CrashRecord`."""
 
     id: Name
     suspects: list[Name]
-    retested: list[Name]
+    repeated: list[Name]
     age_ms: Age
 
 
-class VerdictMessage(msgspec.Struct, array_like=True):
-    """A verdict; see `Verdict`."""
+class EntryMessage(msgspec.Struct, array_like=True):
+    """An entry; see `QuarantineEntry`."""
 
     fingerprint: Name
-    ends: list[Name]
-    cleared: list[Name]
+    crashes: list[Name]
+    exonerated: list[Name]
     age_ms: Age
 
 
-class BookMessage(msgspec.Struct, array_like=True):
-    """What a daemon knows, or a part of it.
+class RegistryMessage(msgspec.Struct, array_like=True):
+    """A registry, or a part of it.
 
     Attributes
     ----------
     digest : bytes
-        Of all that the sender knows.
+        Of the sender's whole registry.
     complete : bool
-        Whether the sender has learnt what was known before it started.
-    ends : list of EndMessage
-    cleared : list of (bytes, list of bytes)
-        Fingerprints, and the ends that they were cleared of.
-    verdicts : list of VerdictMessage
+        Whether the sender has synchronized since its start.
+    crashes : list of CrashMessage
+    exonerated : list of (bytes, list of bytes)
+        Fingerprints, and the crashes that they are exonerated of.
+    entries : list of EntryMessage
     era : int
-        Of the store, as far as the sender has heard; 0 for none.
+        Era of the store that the sender has observed; 0 for none.
     """
 
     digest: bytes
     complete: bool
-    ends: list[EndMessage] = []
-    cleared: list[tuple[Name, list[Name]]] = []
-    verdicts: list[VerdictMessage] = []
+    crashes: list[CrashMessage] = []
+    exonerated: list[tuple[Name, list[Name]]] = []
+    entries: list[EntryMessage] = []
     era: Annotated[int, Meta(ge=0)] = 0
 
 
 encode = msgspec.msgpack.Encoder().encode
-decode_message = msgspec.msgpack.Decoder(BookMessage).decode
+decode_message = msgspec.msgpack.Decoder(RegistryMessage).decode
 
 
 def decode(payload):
-    """Return a peer's `BookMessage`; raises `ProtocolError`."""
+    """Return a peer's `RegistryMessage`; raises `ProtocolError`."""
     try:
         return decode_message(payload)
     except msgspec.MsgspecError as error:
         raise ProtocolError(f"malformed message: {str(error)[:100]}") from None
 
 
-def describe(book, digest, complete, names=None, era=0):
-    """Return what a book holds as a message.
+def describe(registry, digest, complete, names=None, era=0):
+    """Return a registry as a message.
 
     Parameters
     ----------
-    book : QuarantineBook
+    registry : QuarantineRegistry
     digest : bytes
     complete : bool
     names : set of bytes or None
-        Ends and fingerprints to tell; None for all.
+        Crashes and fingerprints to include; None for all.
     era : int
     """
-    at = book.clock()
+    at = registry.clock()
 
-    def told(name):
+    def wanted(name):
         return names is None or name in names
 
-    return BookMessage(
+    return RegistryMessage(
         digest,
         complete,
         [
-            EndMessage(
-                end.id,
-                list(end.suspects),
-                list(end.retested),
-                age_ms(at, end.noted_at),
+            CrashMessage(
+                crash.id,
+                list(crash.suspects),
+                list(crash.repeated),
+                age_ms(at, crash.noted_at),
             )
-            for end in book.ends.values()
-            if told(end.id)
+            for crash in registry.crashes.values()
+            if wanted(crash.id)
         ],
         [
-            (fingerprint, list(ends))
-            for fingerprint, ends in book.cleared.items()
-            if ends and told(fingerprint)
+            (fingerprint, list(crashes))
+            for fingerprint, crashes in registry.exonerated.items()
+            if crashes and wanted(fingerprint)
         ],
         [
-            VerdictMessage(
+            EntryMessage(
                 fingerprint,
-                list(verdict.ends),
-                list(verdict.cleared),
-                age_ms(at, verdict.since),
+                list(entry.crashes),
+                list(entry.exonerated),
+                age_ms(at, entry.since),
             )
-            for fingerprint, verdict in book.verdicts.items()
-            if told(fingerprint)
+            for fingerprint, entry in registry.entries.items()
+            if wanted(fingerprint)
         ],
         era,
     )
@@ -123,60 +123,59 @@
 
 def age_ms(at, moment):
     """Return an age in whole milliseconds."""
-    return min(MOST_AGE_MS, max(0, round((at - moment) * 1_000)))
+    return min(MAX_AGE_MS, max(0, round((at - moment) * 1_000)))
 
 
-def merge(book, message):
-    """Take in what a peer knows."""
-    at = book.clock()
-    for end in message.ends:
-        suspects, retested = frozenset(end.suspects), frozenset(end.retested)
-        noted_at = at - end.age_ms / 1_000
-        book.take_end(EndRecord(end.id, suspects, retested, noted_at))
-    for fingerprint, names in message.cleared:
-        book.take_cleared(fingerprint, set(names))
-    for heard in message.verdicts:
-        since = at - heard.age_ms / 1_000
-        verdict = Verdict(set(heard.ends), set(heard.cleared), since)
-        book.take_verdict(heard.fingerprint, verdict)
+def merge(registry, message):
+    """Merge a peer's message into a registry."""
+    at = registry.clock()
+    for crash in message.crashes:
+        suspects, repeated = frozenset(crash.suspects), frozenset(crash.repeated)
+        noted_at = at - crash.age_ms / 1_000
+        registry.merge_crash(CrashRecord(crash.id, suspects, repeated, noted_at))
+    for fingerprint, names in message.exonerated:
+        registry.merge_exonerations(fingerprint, set(names))
+    for received in message.entries:
+        since = at - received.age_ms / 1_000
+        entry = QuarantineEntry(set(received.crashes), set(received.exonerated), since)
+        registry.merge_entry(received.fingerprint, entry)
 
 
-class BookDigest:
-    """A digest of a book, made anew only when the book has changed.
+class RegistryDigest:
+    """A digest of a registry, cached until that changes.
 
-    Two daemons with the same digest have nothing to tell each other. Ages are
-    left out, since no two daemons noted an end at the same moment.
+    Ages are left out: they differ between daemons with the same content.
 
     Parameters
     ----------
-    book : QuarantineBook
+    registry : QuarantineRegistry
     """
 
-    def __init__(self, book):
-        self.book = book
+    def __init__(self, registry):
+        self.registry = registry
         self.revision = -1
         self.value = b""
 
     def current(self):
         """Return the digest, `DIGEST_BYTES` long."""
-        if self.revision != self.book.revision:
-            self.revision = self.book.revision
-            self.value = digest_of(self.book)
+        if self.revision != self.registry.revision:
+            self.revision = self.registry.revision
+            self.value = digest_of(self.registry)
         return self.value
 
 
-def digest_of(book):
-    """Return a digest of what a book holds."""
+def digest_of(registry):
+    """Return a digest of a registry's content."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for name in sorted(book.ends):
+    for name in sorted(registry.crashes):
         digest.update(b"e" + name)
-    for fingerprint, ends in sorted(book.cleared.items()):
-        for name in sorted(ends):
+    for fingerprint, crashes in sorted(registry.exonerated.items()):
+        for name in sorted(crashes):
             digest.update(b"c" + fingerprint + name)
-    for fingerprint, verdict in sorted(book.verdicts.items(), key=itemgetter(0)):
+    for fingerprint, entry in sorted(registry.entries.items(), key=itemgetter(0)):
         digest.update(b"v" + fingerprint)
-        for name in sorted(verdict.ends):
+        for name in sorted(entry.crashes):
             digest.update(b"+" + name)
-        for name in sorted(verdict.cleared):
+        for name in sorted(entry.exonerated):
             digest.update(b"-" + name)
     return digest.digest()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/records.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/records.py
@@ -1,83 +1,82 @@
-"""What is known of targets' ends and of the requests at work in them."""
+"""Records of targets' crashes and of quarantined requests."""
 
 from dataclasses import dataclass, field
 
 MINUTE_S = 60.0
 HOUR_S = 3_600.0
-TERMS_S = {
+TTLS_S = {
     2: MINUTE_S,
     3: 10 * MINUTE_S,
     4: HOUR_S,
     5: 6 * HOUR_S,
 }
-"""How long a request is held back, seconds, by the targets that ended under
-it. Each time it is let through again it may end one more."""
-LONGEST_TERM_S = 24 * HOUR_S
+"""TTL of a quarantine entry, seconds, by the number of crashes it rests on.
+Each time one expires, the request may cause one more."""
+MAX_TTL_S = 24 * HOUR_S
 
 
 @dataclass(frozen=True, slots=True)
-class EndRecord:
-    """A target's end.
+class CrashRecord:
+    """A crash of a target.
 
     Attributes
     ----------
     id : bytes
-        Names the process that ended, for good.
+        Identifies the process that crashed.
     suspects : frozenset of bytes
-        Fingerprints of the calls at work in it.
-    retested : frozenset of bytes
-        Those of them that it was handed after another end which they may have
-        caused. Calls that merely were at work in several targets when these
-        ended together are none of them.
+        Fingerprints of the calls in flight.
+    repeated : frozenset of bytes
+        Suspects that were already suspected of an earlier crash when they were
+        handed to this target. Calls in flight at several targets that crash
+        together are not among them.
     noted_at : float
-        Seconds on the daemon's own clock; moments don't travel, ages do.
+        Seconds on the daemon's own clock.
     """
 
     id: bytes
     suspects: frozenset[bytes]
-    retested: frozenset[bytes]
+    repeated: frozenset[bytes]
     noted_at: float
 
 
 @dataclass(slots=True)
-class Verdict:
-    """That a request is held back.
+class QuarantineEntry:
+    """A quarantined request.
 
-    Ends are only ever added, as are those that it was cleared of, so that
-    daemons which merge what they know come to the same in any order.
+    Both sets only grow, so that daemons which merge their entries converge in
+    any order.
 
     Attributes
     ----------
-    ends : set of bytes
-        Targets that ended under it.
-    cleared : set of bytes
-        Those of them that it is no longer blamed for, since it was answered or
-        an operator said so.
+    crashes : set of bytes
+        Crashes that it is suspected of.
+    exonerated : set of bytes
+        Those of them that it is no longer suspected of.
     since : float
-        When the latest end was noted, on the daemon's own clock.
+        When the latest crash was noted, on the daemon's own clock.
     """
 
-    ends: set[bytes] = field(default_factory=set)
-    cleared: set[bytes] = field(default_factory=set)
+    crashes: set[bytes] = field(default_factory=set)
+    exonerated: set[bytes] = field(default_factory=set)
     since: float = 0.0
 
     @property
-    def open_ends(self):
-        """How many ends it is blamed for."""
-        return len(self.ends - self.cleared)
+    def crash_count(self):
+        """Number of crashes that it is still suspected of."""
+        return len(self.crashes - self.exonerated)
 
     @property
-    def term_s(self):
-        """For how long it is held back, seconds; 0 for one that was lifted."""
-        if not self.open_ends:
+    def ttl_s(self):
+        """Seconds that the entry holds; 0 once it was lifted."""
+        if not self.crash_count:
             return 0.0
-        return TERMS_S.get(max(self.open_ends, min(TERMS_S)), LONGEST_TERM_S)
+        return TTLS_S.get(max(self.crash_count, min(TTLS_S)), MAX_TTL_S)
 
     @property
-    def ends_at(self):
-        """When it lets the request through again."""
-        return self.since + self.term_s
+    def expires_at(self):
+        """When the request is admitted again."""
+        return self.since + self.ttl_s
 
     def covers(self, other):
-        """Whether nothing would be learnt from another one."""
-        return other.ends <= self.ends and other.cleared <= self.cleared
+        """Return whether another entry adds nothing to this one."""
+        return other.crashes <= self.crashes and other.exonerated <= self.exonerated
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/rows.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/rows.py
@@ -1,4 +1,4 @@
-"""Verdicts in the platform's store, where they outlast all daemons."""
+"""Quarantine entries in the platform's store, which outlast all daemons."""
 
 import asyncio
 import time
@@ -7,91 +7,87 @@
 
 from papayabay_core.exceptions import ConditionFailed, PlatformError
 from papayabay_core.platform import Put
-from papayabay_daemon._internal.membership.seeds import rendezvous_weight
+from papayabay_daemon._internal.membership.seeds import pick_by_rendezvous
 from papayabay_daemon._internal.outage import Outage
-from papayabay_daemon._internal.quarantine.records import Verdict
+from papayabay_daemon._internal.quarantine.records import QuarantineEntry
 
 PREFIX = "quarantine/"
 PAGE_ROWS = 100
-AGAIN_S = 1.0
-"""Pause after the store has failed."""
+RETRY_DELAY_S = 1.0
+"""Delay of a retry after the store has failed."""
 log = logbook.Logger("papayabay.quarantine")
 
 
 class QuarantineRows:
-    """Reads all verdicts at the start, and writes each that is new.
+    """Stores entries, one row each, and loads them at the start.
 
-    Suspicions are not kept there: they are many, and the next ends make them
-    anew. A verdict is written by the member that its fingerprint falls to, so
-    that one call is made for it and not one by each daemon; while the store is
-    away it goes from daemon to daemon alone, and is written when it is back.
+    Each row has one owner among the members, which writes it as soon as the
+    store answers. Suspects are not stored: the next crashes show them again.
 
     Parameters
     ----------
-    book : QuarantineBook
+    registry : QuarantineRegistry
     table : TableService
     members : Members
     """
 
-    def __init__(self, book, table, members):
-        self.book = book
+    def __init__(self, registry, table, members):
+        self.registry = registry
         self.table = table
         self.members = members
         self.outage = Outage(log, "rows of requests held back")
         self.stored = {}
         self.dropped = []
         self.came_back_at = None
+        self.owners = {}
+        self.live = None
         self.counters = {"rows_read": 0, "rows_written": 0, "store_errors": 0}
         self.wanted = asyncio.Event()
-        book.listeners.append(lambda urgent: self.wanted.set())
+        registry.listeners.append(lambda urgent: self.wanted.set())
         table.era.listeners.append(self.store_came_back)
 
     async def run(self):
-        """Write what falls to this daemon, until cancelled."""
+        """Write the rows that this daemon owns, until cancelled."""
         while True:
             await self.wanted.wait()
             self.wanted.clear()
             while not await self.keep():
-                await asyncio.sleep(AGAIN_S)
-            self.tell_kept_again()
+                await asyncio.sleep(RETRY_DELAY_S)
+            self.log_restored()
 
     def store_came_back(self):
-        """Take no row for kept: the store has come back from an older copy.
-
-        Were they not written again, they would be known to the daemons alone,
-        and to nobody once all have started anew.
-        """
+        """Write all rows again: a restored store may have lost them."""
         self.stored.clear()
-        self.came_back_at = self.book.clock()
+        self.came_back_at = self.registry.clock()
         self.wanted.set()
 
-    def hear_era(self, era):
-        """Take a peer's word for the store's era.
+    def observe_era(self, era):
+        """Take over the era that a peer has observed.
 
-        Few daemons read the store; who keeps a row may never speak to it, and
-        would not hear that the row is gone.
+        The owner of a row may never read the store, and would not notice that
+        the row is lost.
         """
         if era > (self.table.era.current or 0):
             self.table.era.note(era)
 
-    def tell_kept_again(self):
-        """Log, once, that all is in the store again."""
+    def log_restored(self):
+        """Log, once, that all rows are stored again."""
         if self.came_back_at is None:
             return
         log.notice(
             "{} requests held back are in the store again, {:.1f} s after it came back",
             len(self.stored),
-            self.book.clock() - self.came_back_at,
+            self.registry.clock() - self.came_back_at,
         )
         self.came_back_at = None
 
     async def read(self):
-        """Take in all verdicts; return whether the store could be read."""
+        """Merge all rows; return whether the store could be read."""
         after = ""
         try:
             while rows := await self.table.scan(PREFIX, after, PAGE_ROWS):
                 for row in rows:
-                    self.take(row)
+                    self.merge_row(row)
                 after = rows[-1].key
                 if len(rows) < PAGE_ROWS:
                     break
@@ -102,62 +98,69 @@
         return True
 
     def failed(self, error):
-        """Note that the store did not answer."""
+        """Count a failure of the store."""
         self.counters["store_errors"] += 1
         self.outage.failed(error)
 
-    def take(self, row):
-        """Take in one row; what is malformed is passed over."""
+    def merge_row(self, row):
+        """Merge one row; a malformed one is skipped."""
         try:
             fingerprint = bytes.fromhex(row.key.removeprefix(PREFIX))
-            verdict = self.parse(row.value)
+            entry = self.parse(row.value)
         except (KeyError, TypeError, ValueError) as error:
-            log.warning("row {} passed over: {!r}", row.key, error)
+            log.warning("row {} is malformed and skipped: {!r}", row.key, error)
             return
-        self.book.take_verdict(fingerprint, verdict)
-        self.stored[fingerprint] = content_of(verdict)
+        self.registry.merge_entry(fingerprint, entry)
+        self.stored[fingerprint] = content_of(entry)
         self.counters["rows_read"] += 1
 
     def parse(self, value):
-        """Return the verdict of a row.
+        """Return the entry of a row.
 
-        The time of day may have been set wrong, here or where it was written.
-        So a verdict is never taken for newer than now, nor for older than one
-        that has just lapsed: a row would be dropped that others still need.
+        Wall clocks may differ between writer and reader. An age is therefore
+        bounded by 0 and the TTL; beyond it, the row would be deleted here
+        while it is still valid elsewhere.
         """
-        verdict = Verdict(
+        entry = QuarantineEntry(
             {bytes.fromhex(name) for name in value["ends"]},
             {bytes.fromhex(name) for name in value["cleared"]},
         )
         age = time.time() - float(value["since"])
-        verdict.since = self.book.clock() - min(max(0.0, age), verdict.term_s)
-        return verdict
+        entry.since = self.registry.clock() - min(max(0.0, age), entry.ttl_s)
+        return entry
 
-    def forget(self):
-        """Forget what is too old, and remember which rows are to go."""
-        for fingerprint in self.book.forget():
-            if self.stored.pop(fingerprint, None) and self.falls_here(fingerprint):
+    def expire(self):
+        """Expire entries, and schedule the deletion of their rows."""
+        for fingerprint in self.registry.expire():
+            if self.stored.pop(fingerprint, None) and self.is_owner(fingerprint):
                 self.dropped.append(fingerprint)
 
-    def falls_here(self, fingerprint):
-        """Whether this daemon keeps the row of a request."""
-        keeper = max(
-            self.members.live(),
-            key=lambda member: rendezvous_weight(member.name, fingerprint.hex()),
-        )
-        return keeper is self.members.local
+    def is_owner(self, fingerprint):
+        """Return whether this daemon owns the row of a request."""
+        live = self.members.live()
+        if live is not self.live:
+            self.live = live
+            self.owners = {}
+        if fingerprint not in self.owners:
+            self.owners[fingerprint] = self.pick_owner(fingerprint, live)
+        return self.owners[fingerprint] is self.members.local
+
+    def pick_owner(self, fingerprint, live):
+        """Return the member that owns the row of a request."""
+        (owner,) = pick_by_rendezvous(live, fingerprint.hex(), 1)
+        return owner
 
     def due(self):
         """Return the fingerprints whose rows this daemon has to write."""
         return [
             fingerprint
-            for fingerprint, verdict in self.book.verdicts.items()
-            if self.stored.get(fingerprint) != content_of(verdict)
-            and self.falls_here(fingerprint)
+            for fingerprint, entry in self.registry.entries.items()
+            if self.stored.get(fingerprint) != content_of(entry)
+            and self.is_owner(fingerprint)
         ]
 
     async def keep(self):
-        """Write what is due; return whether the store did its part."""
+        """Write the rows that are due; return whether all were."""
         try:
             for fingerprint in self.due():
                 await self.write(fingerprint)
@@ -165,7 +168,7 @@
                 await self.table.write([Put(key_of(self.dropped[-1]), None)])
                 self.dropped.pop()
         except ConditionFailed:
-            # Another daemon has written it meanwhile; read at the next try.
+            # Another daemon has written the row; it is read by the next try.
             return False
         except (PlatformError, TimeoutError) as error:
             self.failed(error)
@@ -174,19 +177,19 @@
         return True
 
     async def write(self, fingerprint):
-        """Bring one row up to what is known, and take in what it holds."""
+        """Merge one row with the registry, and write the result."""
         key = key_of(fingerprint)
         row = await self.table.get(key)
         if row is not None:
-            self.take(row)
-        verdict = self.book.verdicts[fingerprint]
-        content = content_of(verdict)
+            self.merge_row(row)
+        entry = self.registry.entries[fingerprint]
+        content = content_of(entry)
         if self.stored.get(fingerprint) == content:
             return
-        age = self.book.clock() - verdict.since
+        age = self.registry.clock() - entry.since
         value = {
-            "ends": sorted(name.hex() for name in verdict.ends),
-            "cleared": sorted(name.hex() for name in verdict.cleared),
+            "ends": sorted(name.hex() for name in entry.crashes),
+            "cleared": sorted(name.hex() for name in entry.exonerated),
             "since": time.time() - age,
         }
         await self.table.write([Put(key, value, row.revision if row else 0)])
@@ -199,6 +202,6 @@
     return f"{PREFIX}{fingerprint.hex()}"
 
 
-def content_of(verdict):
-    """Return what of a verdict has to be in its row."""
-    return frozenset(verdict.ends), frozenset(verdict.cleared)
+def content_of(entry):
+    """Return what of an entry its row has to hold."""
+    return frozenset(entry.crashes), frozenset(entry.exonerated)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -26,7 +26,7 @@
         "doors": partial(door_counters, daemon),
         "quarantine": partial(quarantine_counters, daemon),
         "accounts": partial(account_counters, daemon),
-        "target": partial(dict, daemon.target.ends.counters),
+        "target": partial(dict, daemon.target.crash_detector.counters),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.keeper.counts),
         "members": partial(member_counters, daemon.membership),
@@ -41,9 +41,10 @@
 
 
 def quarantine_counters(daemon):
-    """Return what was counted of requests held back, and of telling it."""
-    spread = daemon.quarantine_spread
-    parts = daemon.quarantine, daemon.book, spread, spread.rows
+    """Return the counters of quarantine and of its propagation."""
+    propagation = daemon.quarantine_propagation
+    registry = daemon.quarantine_registry
+    parts = daemon.quarantine, registry, propagation, propagation.rows
     return {name: count for part in parts for name, count in part.counters.items()}
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -8,8 +8,8 @@
 from papayabay_daemon._internal.lifetime.timeouts import LifeTimeout
 from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
 from papayabay_daemon._internal.target.cancellation import CancelNotices
+from papayabay_daemon._internal.target.crash_detector import CrashDetector
 from papayabay_daemon._internal.target.dialect import OwnTargetDialect, Verdict
-from papayabay_daemon._internal.target.ends import EndWatch
 from papayabay_daemon._internal.target.exchange import Exchange
 from papayabay_daemon._internal.target.pool import TargetPool
 
@@ -42,7 +42,7 @@
         self.registry = registry
         self.pool = None
         self.notices = CancelNotices()
-        self.ends = EndWatch(Fingerprints(settings))
+        self.crash_detector = CrashDetector(Fingerprints(settings))
 
     async def run(self, call, call_token):
         """Hand a call over and return the target's answer.
@@ -110,7 +110,7 @@
             # whether it read the bytes before can't be known.
             if exchange is not None:
                 exchange.abort()
-                await self.lost(exchange, call)
+                await self.call_broke_off(exchange, call)
             raise CallError(ErrorKind.TARGET_LOST, repr(error)) from error
 
     async def connect(self, pool):
@@ -119,9 +119,9 @@
             connection = await pool.connect()
         except OSError as error:
             self.registry.connect_failed(pool.announcement)
-            # The call that ended it may have been given up before it did.
-            if self.ends.lost:
-                self.ends.look(pool)
+            # The call that crashed it may have been cancelled before.
+            if self.crash_detector.lost:
+                self.crash_detector.probe(pool)
             raise CallError(ErrorKind.TARGET_UNREACHABLE, str(error)) from error
         self.registry.connected()
         return connection
@@ -157,7 +157,7 @@
         # Without a length, an answer ends with its connection: so does one
         # that a target gives while it ends.
         if message.head.is_framed or not exchange.connection.closed:
-            self.ends.answered(call)
+            self.crash_detector.answered(call)
         if call.method != "HEAD" and status != NOT_MODIFIED:
             headers = without(headers, "content-length")
         return Answer(status, headers, body)
@@ -185,32 +185,32 @@
                 return
             pool.leave()
             if whole:
-                self.ends.answered(call)
+                self.crash_detector.answered(call)
             else:
-                self.ends.note(call, stream.exchange)
-                self.ends.look(pool)
+                self.crash_detector.call_lost(call, stream.exchange)
+                self.crash_detector.probe(pool)
                 self.notices.post(pool.announcement, call_token)
 
         stream.on_end = ended
 
-    async def lost(self, exchange, call):
-        """Note a call that broke off, and wait until it is known why.
+    async def call_broke_off(self, exchange, call):
+        """Record a call that broke off, and wait for the probe it starts.
 
-        It may be sent to another target at once. By then all daemons should
-        know if this one has ended, and what else was at work in it.
+        The call may be retried elsewhere at once. By then other daemons should
+        know of a crash and its suspects.
         """
-        self.ends.note(call, exchange)
-        await asyncio.wait({self.ends.look(exchange.pool)})
+        self.crash_detector.call_lost(call, exchange)
+        await asyncio.wait({self.crash_detector.probe(exchange.pool)})
 
     def give_up(self, exchange, call, call_token):
         """Close the connection and tell the target why, if it listens."""
         exchange.abort()
-        self.ends.note(call, exchange)
+        self.crash_detector.call_lost(call, exchange)
         self.notices.post(exchange.pool.announcement, call_token)
 
     async def close(self):
         """Close all connections."""
-        self.ends.close()
+        self.crash_detector.close()
         await self.notices.close()
         if self.pool is not None:
             self.pool.close()
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -31,10 +31,10 @@
 from papayabay_daemon._internal.metrics.objectives import ObjectiveCounters
 from papayabay_daemon._internal.metrics.sender import MetricsSender, flatten
 from papayabay_daemon._internal.quarantine import (
-    QuarantineBook,
     QuarantineGate,
+    QuarantinePropagation,
+    QuarantineRegistry,
     QuarantineRows,
-    QuarantineSpread,
 )
 from papayabay_daemon._internal.retries import (
     ArrivalBudget,
@@ -123,25 +123,27 @@
         self.links.on_doubt(self.router.note_doubt)
 
     def build_quarantine(self):
-        """Make what keeps requests away that end targets."""
+        """Make what quarantines requests that crash targets."""
         self.log = DecisionLog(self.writer, lambda: self.policy().version)
-        self.book = QuarantineBook()
+        self.quarantine_registry = QuarantineRegistry()
         self.quarantine = QuarantineGate(
             self.settings,
-            self.book,
+            self.quarantine_registry,
             self.log,
             lambda: self.policy().decisions.quarantine,
         )
-        self.quarantine_spread = QuarantineSpread(
-            self.book,
+        registry = self.quarantine_registry
+        self.quarantine_propagation = QuarantinePropagation(
+            registry,
             self.membership,
             self.links,
-            QuarantineRows(self.book, self.table, self.membership),
+            QuarantineRows(registry, self.table, self.membership),
             self.keeper.readers,
             self.random,
         )
-        self.target.ends.listeners.append(self.target_ended)
-        self.target.ends.answer_listeners.append(self.quarantine.answered)
+        detector = self.target.crash_detector
+        detector.listeners.append(self.target_crashed)
+        detector.answer_listeners.append(self.quarantine.answered)
 
     def build_accounts(self):
         """Make what knows client accounts."""
@@ -241,7 +243,7 @@
             Child("target asking", self.asking.run),
             Child("metrics", self.metrics.run),
             Child("pause watch", self.pause.run),
-            Child("quarantine", self.quarantine_spread.run),
+            Child("quarantine", self.quarantine_propagation.run),
             Child("keeper ring", self.ring.run),
         ]
         if self.writer is not None:
@@ -290,12 +292,12 @@
             self.admission.open()
             self.membership.announce(target.service, target.slots)
 
-    def target_ended(self, end):
-        """Follow the end of the target's process with calls at work in it."""
-        self.quarantine_spread.note_service(end.service)
-        self.quarantine.target_ended(end)
+    def target_crashed(self, crash):
+        """Record a crash of the target, and withdraw its announcement."""
+        self.quarantine_propagation.set_service(crash.service)
+        self.quarantine.target_crashed(crash)
         current = self.registry.current
-        if current is not None and current.process == end.process:
+        if current is not None and current.process == crash.process:
             self.registry.withdraw("its process has ended")
 
     def policy_changed(self, policy):
--- a/tests/unit/daemon/quarantine_fleet.py
+++ b/tests/unit/daemon/quarantine_fleet.py
@@ -11,17 +11,17 @@
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.quarantine import (
-    QuarantineBook,
     QuarantineGate,
+    QuarantinePropagation,
+    QuarantineRegistry,
     QuarantineRows,
-    QuarantineSpread,
 )
 from papayabay_daemon._internal.retries import ArrivalBudget
-from papayabay_daemon._internal.target.ends import (
-    HEARD_S,
-    LOOKS_S,
-    AtWork,
-    TargetEnd,
+from papayabay_daemon._internal.target.crash_detector import (
+    PROBE_DELAYS_S,
+    PROPAGATION_DELAY_S,
+    InFlightCall,
+    TargetCrash,
 )
 from tests.lib.cluster_fakes import LinkNetwork, MemoryTable, make_settings, seeded
 from tests.unit.daemon.budget_support import SERVICE, budget_policy
@@ -58,11 +58,11 @@
         rng = seeded(f"{self.name} {fleet.seed} {next(self.numbers)}")
         self.up_since = clock()
         self.local = SimpleNamespace(name=self.name)
-        self.book = QuarantineBook(clock)
+        self.book = QuarantineRegistry(clock)
         self.gate = QuarantineGate(settings, self.book, DecisionLog(), lambda: True)
         links = fleet.network.links(self.name)
         rows = QuarantineRows(self.book, fleet.table, self)
-        self.spread = QuarantineSpread(self.book, self, links, rows, self, rng, clock)
+        self.spread = QuarantinePropagation(self.book, self, links, rows, self, rng)
         parts = SimpleNamespace(
             counters=SimpleNamespace(received=0),
             policy=budget_policy,
@@ -135,23 +135,23 @@
                 self.gate.answered(call)
                 self.fleet.answered(call, self)
                 return Answer(200)
-        await asyncio.sleep(LOOKS_S[0])
+        await asyncio.sleep(PROBE_DELAYS_S[0])
         if not ended.is_set():
             self.crash()
-        await asyncio.sleep(HEARD_S)
+        await asyncio.sleep(PROPAGATION_DELAY_S)
         raise CallError(ErrorKind.TARGET_LOST)
 
     def crash(self):
         """End the target's process under all calls that it runs."""
         works = [
-            AtWork(call.request_id, "", self.gate.fingerprints.of(call), begun)
+            InFlightCall(call.request_id, "", self.gate.fingerprints.of(call), begun)
             for call, begun in self.running.values()
         ]
         self.running.clear()
         for work in works:
             self.fleet.blamed_at[work.fingerprint] = self.fleet.clock()
         process = (f"p{self.born}", 0)
-        self.gate.target_ended(TargetEnd(process, SERVICE, works))
+        self.gate.target_crashed(TargetCrash(process, SERVICE, works))
         self.ended.set()
         self.ended = asyncio.Event()
         self.born = next(self.numbers)
--- a/tests/unit/daemon/test_quarantine_fleet.py
+++ b/tests/unit/daemon/test_quarantine_fleet.py
@@ -6,7 +6,7 @@
 
 from papayabay_core.errors import ErrorKind
 from papayabay_daemon._internal.quarantine.messages import describe, encode
-from papayabay_daemon._internal.target.ends import HEARD_S
+from papayabay_daemon._internal.target.crash_detector import PROPAGATION_DELAY_S
 from tests.lib.virtual_time import run_virtually
 from tests.unit.daemon.quarantine_fleet import CONTACT_S, DEADLY, QuarantineFleet
 
@@ -112,8 +112,8 @@
             await first.spread.answer(
                 encode(describe(second.book, b"other", True)), second.name
             )
-            await fleet.settle(HEARD_S)
-            ends = [len(daemon.book.ends) for daemon in fleet.daemons]
+            await fleet.settle(PROPAGATION_DELAY_S)
+            ends = [len(daemon.book.crashes) for daemon in fleet.daemons]
             self.assertEqual(ends, [2] * 4)
 
         self.play(4, scenario)
--- a/tests/unit/daemon/test_quarantine_book.py
+++ b/tests/unit/daemon/test_quarantine_registry.py
@@ -10,19 +10,23 @@
 from papayabay_core.platform import Row
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.quarantine import (
-    QuarantineBook,
     QuarantineGate,
+    QuarantineRegistry,
     QuarantineRows,
 )
-from papayabay_daemon._internal.quarantine.book import MOST_ENDS, MOST_VERDICTS
 from papayabay_daemon._internal.quarantine.messages import (
-    BookDigest,
+    RegistryDigest,
     decode,
     describe,
     encode,
     merge,
 )
-from papayabay_daemon._internal.quarantine.records import HOUR_S, MINUTE_S, Verdict
+from papayabay_daemon._internal.quarantine.records import (
+    HOUR_S,
+    MINUTE_S,
+    QuarantineEntry,
+)
+from papayabay_daemon._internal.quarantine.registry import MAX_CRASHES, MAX_ENTRIES
 from tests.lib.cluster_fakes import MemoryTable
 from tests.unit.daemon.door_fakes import call, settings
 
@@ -34,18 +38,18 @@
         self.book = self.new_book()
 
     def new_book(self):
-        return QuarantineBook(lambda: self.at)
+        return QuarantineRegistry(lambda: self.at)
 
     def end(self, *fingerprints, begun=None, book=None):
         """Let a target end that was just handed some requests."""
         self.at += 0.5
         begun = self.at - 0.2 if begun is None else begun
         name = next(self.numbers).to_bytes(8, "big")
-        (book or self.book).add_end(name, dict.fromkeys(fingerprints, begun))
+        (book or self.book).add_crash(name, dict.fromkeys(fingerprints, begun))
         return name
 
     def held(self, fingerprint, book=None):
-        return round((book or self.book).held_for(fingerprint), 1)
+        return round((book or self.book).remaining_ttl(fingerprint), 1)
 
 
 class JudgingTests(BookCase):
@@ -66,7 +70,7 @@
     def test_an_answer_leaves_the_other_as_the_only_one(self):
         self.end(b"p", b"a")
         self.end(b"p", b"a")
-        self.book.clear(b"a")
+        self.book.exonerate(b"a")
         self.assertEqual((self.held(b"p"), self.held(b"a")), (MINUTE_S, 0.0))
 
     def test_targets_that_end_together_tell_nothing_of_busy_paths(self):
@@ -92,11 +96,11 @@
     def test_an_answer_lifts_it(self):
         for _ in range(3):
             self.end(b"p")
-        self.assertTrue(self.book.clear(b"p"))
+        self.assertTrue(self.book.exonerate(b"p"))
         self.assertEqual(self.held(b"p"), 0.0)
         self.end(b"p")
         self.assertEqual(self.held(b"p"), 0.0)
-        self.assertFalse(self.book.clear(b"unknown"))
+        self.assertFalse(self.book.exonerate(b"unknown"))
 
 
 class BoundTests(BookCase):
@@ -105,27 +109,27 @@
         for _ in range(4):
             self.at += self.held(b"first")
             self.end(b"first")
-        for number in range(MOST_VERDICTS + 100):
+        for number in range(MAX_ENTRIES + 100):
             fingerprint = b"f%d" % number
             self.end(fingerprint)
             self.end(fingerprint)
-        self.assertEqual(len(self.book.ends), MOST_ENDS)
-        self.assertEqual(len(self.book.verdicts), MOST_VERDICTS)
+        self.assertEqual(len(self.book.crashes), MAX_CRASHES)
+        self.assertEqual(len(self.book.entries), MAX_ENTRIES)
         self.assertGreater(self.held(b"first"), 0.0)
         self.at += 48 * HOUR_S
-        self.assertEqual(len(self.book.forget()), MOST_VERDICTS)
+        self.assertEqual(len(self.book.expire()), MAX_ENTRIES)
         self.assertTrue(self.book.is_empty)
 
     def test_old_ends_are_forgotten(self):
         self.end(b"p")
         self.at += 7 * HOUR_S
-        self.book.forget()
+        self.book.expire()
         self.assertTrue(self.book.is_empty)
 
 
 class MergingTests(BookCase):
     def tell(self, book, to):
-        digest = BookDigest(book).current()
+        digest = RegistryDigest(book).current()
         merge(to, decode(encode(describe(book, digest, True))))
 
     def test_ends_seen_by_two_daemons_make_one_verdict(self):
@@ -147,7 +151,7 @@
                 rng.choice(
                     [
                         lambda book=book, names=names: self.end(*names, book=book),
-                        lambda book=book, names=names: book.clear(names[0]),
+                        lambda book=book, names=names: book.exonerate(names[0]),
                         lambda book=book, to=to: self.tell(book, to),
                     ]
                 )()
@@ -155,7 +159,7 @@
                 for book in books:
                     for to in books:
                         self.tell(book, to)
-            self.assertEqual(len({BookDigest(book).current() for book in books}), 1)
+            self.assertEqual(len({RegistryDigest(book).current() for book in books}), 1)
 
     def test_what_is_no_message_is_refused(self):
         for payload in (b"", b"\x01", encode([b"", True, [[b"", [], [], -1]]])):
@@ -182,7 +186,7 @@
         self.assertTrue(asyncio.run(self.rows(self.book).keep()))
         other = self.new_book()
         self.assertTrue(asyncio.run(self.rows(other).read()))
-        self.assertEqual(list(other.verdicts), [b"p"])
+        self.assertEqual(list(other.entries), [b"p"])
 
     def test_a_time_of_day_that_was_set_wrong_drops_no_row(self):
         self.end(b"p")
@@ -193,7 +197,7 @@
         other = self.new_book()
         rows = self.rows(other)
         asyncio.run(rows.read())
-        rows.forget()
+        rows.expire()
         asyncio.run(rows.keep())
         self.assertEqual(list(self.table.rows), [key])
 
@@ -203,7 +207,7 @@
         rows = self.rows(self.book)
         asyncio.run(rows.keep())
         self.at += 25 * HOUR_S
-        rows.forget()
+        rows.expire()
         asyncio.run(rows.keep())
         self.assertEqual(self.table.rows, {})
 
@@ -259,7 +263,7 @@
 
 class TermTests(unittest.TestCase):
     def test_one_that_was_lifted_holds_nothing_back(self):
-        self.assertEqual(Verdict({b"e"}, {b"e"}, 5.0).ends_at, 5.0)
+        self.assertEqual(QuarantineEntry({b"e"}, {b"e"}, 5.0).expires_at, 5.0)
 
 
 if __name__ == "__main__":
--- a/tests/unit/platform/test_store_eras.py
+++ b/tests/unit/platform/test_store_eras.py
@@ -5,7 +5,7 @@
 
 from papayabay_core.exceptions import ConditionFailed
 from papayabay_core.platform import Put
-from papayabay_daemon._internal.quarantine import QuarantineBook, QuarantineRows
+from papayabay_daemon._internal.quarantine import QuarantineRegistry, QuarantineRows
 from papayabay_platform.configuration import OperatorVersions
 from papayabay_platform.store import OWN_TABLE, StoreClient, StoreTable
 from tests.lib.cluster_fakes import make_settings
@@ -93,9 +93,9 @@
         Sequence: its row is written; the store comes back from a copy without
         it; all daemons start anew. Cause: who wrote the row took it for kept.
         """
-        book = QuarantineBook()
-        book.add_end(b"end-1", {b"request": 0.0})
-        book.add_end(b"end-2", {b"request": book.clock()})
+        book = QuarantineRegistry()
+        book.add_crash(b"end-1", {b"request": 0.0})
+        book.add_crash(b"end-2", {b"request": book.clock()})
         member = SimpleNamespace(name="d1")
         members = SimpleNamespace(local=member, live=lambda: [member])
         rows = QuarantineRows(book, self.table, members)
