Rename membership's parts by the field's terms

No change of behaviour. News are updates, their queue is UpdateQueue with a transmit limit, Hearing is PacketReceiver; announcements have a fan-out.

--- a/packages/papayabay-bench/src/papayabay_bench/capacity/crowd.py
+++ b/packages/papayabay-bench/src/papayabay_bench/capacity/crowd.py
@@ -23,8 +23,8 @@
     encode_full,
     encode_short,
 )
-from papayabay_daemon._internal.membership.spreading import sends_of_news
 from papayabay_daemon._internal.membership.table import MemberTable
+from papayabay_daemon._internal.membership.update_queue import transmit_limit
 
 FIRST_ADDRESS = ipaddress.IPv4Address("127.64.0.1")
 SERVICES = 490
@@ -287,7 +287,7 @@
 
 def news_sends(members):
     """Return how often each daemon passes one piece of news on."""
-    return sends_of_news(members)
+    return transmit_limit(members)
 
 
 def encode_as(member, state):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -11,15 +11,12 @@
 
 FIRST_PAUSE_SECONDS = 0.25
 LONGEST_PAUSE_SECONDS = 2.0
-"""Pauses after failed reads. At 2 s, 500 readers that meet an outage ask 250
-times a second, and a version written the moment the store is back is still
-wanted within seconds."""
+"""Backoff after failed reads."""
 SETTLE_SECONDS = 2.0
-"""How long after its first read a daemon waits before it reads on: it has met
-its domain by then, and knows whether reading falls to it."""
+"""Delay of a new daemon's second read. By then it knows its failure domain,
+and whether it is a reader."""
 RECHECK_SECONDS = 0.25
-"""How often a daemon looks whether it has to read: an eighth of the shortest
-time within which a version has to be in force."""
+"""How often a daemon checks whether it is a reader."""
 log = logbook.Logger("papayabay.configuration")
 
 
@@ -49,10 +46,9 @@
 class VersionWatcher:
     """Loads the newest version, then waits for newer ones.
 
-    Only the readers of a failure domain keep a question open at the store,
-    and tell the others of the domain at once. So the store's load grows with
-    the domains and not with the daemons: 12 questions are open where 195
-    daemons run, a tenth of the calls of a fleet of which all ask.
+    Only the readers of a failure domain keep a request open at the store, and
+    notify the others of the domain. So the store's load grows with the number
+    of domains, not of daemons.
 
     Parameters
     ----------
@@ -85,7 +81,7 @@
             if self.readers.must_read():
                 await self.follow()
             else:
-                # What is noted here of the store's changes grows old.
+                # The version last seen here is outdated by the next read.
                 self.loaded = False
                 await asyncio.sleep(RECHECK_SECONDS)
 
@@ -132,4 +128,4 @@
         newer = configuration.version > self.state.version.held.version
         self.state.take_whole(configuration)
         if newer:
-            self.state.members.tell_configuration(self.readers.followers())
+            self.state.members.announce_version(self.readers.followers())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/timeouts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/timeouts.py
@@ -6,9 +6,8 @@
 class LifeTimeout:
     """Cancels what its block awaits when a time has passed.
 
-    Does what `asyncio.timeout` does, for a third of its cost: each call has
-    one at every hop, and needs neither rescheduling nor coroutines to enter
-    and leave. To be used with ``with``, in a task.
+    A cheaper `asyncio.timeout` that can't be rescheduled, to be used with
+    ``with`` in a task: each call has one at every hop.
 
     Parameters
     ----------
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -1,10 +1,7 @@
 """Frames of calls and answers, which pass each daemon with every call.
 
-They are MessagePack, typed and checked by `msgspec`; all other frames are
-Cap'n Proto. Read through Cap'n Proto's dynamic schema, a call and its answer
-took 17 and 13 microseconds to write and 32 and 31 to read, warm; here it is
-0.5 and 0.7, 1.0 and 1.1 (20,000 turns of each on one idle core, before the
-conversion to `Call` and `Answer`).
+They are MessagePack, typed and checked by `msgspec`, which is much faster than
+Cap'n Proto's dynamic schema; all other frames are Cap'n Proto.
 
 Headers travel packed in one field, names and values by turns with a NUL
 between them. Text is UTF-8 with surrogate escapes, which is how the HTTP doors
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
@@ -208,10 +208,10 @@
         by a leaving daemon hears that, however full the news queue is. An
         encoded record goes with it if one is given.
         """
-        told = [member] if self.is_doubted(member) else []
+        updates = [member] if self.is_doubted(member) else []
         if self.table.local.state is MemberState.LEAVING:
-            told.append(self.table.local)
-        first = record + b"".join(encode_short(other) for other in told)
+            updates.append(self.table.local)
+        first = record + b"".join(encode_short(other) for other in updates)
         address = (member.host, member.gossip_port)
         self.gossip.send(Kind.PING, sequence, member.name, address, first=first)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/gossip.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/gossip.py
@@ -1,23 +1,26 @@
-"""The UDP socket: sends packets with news on them, takes packets in."""
+"""The UDP socket of gossip: sends packets with updates, and receives."""
 
 import asyncio
 
 from papayabay_core.exceptions import ProtocolError
 from papayabay_daemon._internal.membership.packets import Packet, encode_update
-from papayabay_daemon._internal.membership.spreading import NewsQueue, news_budget
+from papayabay_daemon._internal.membership.update_queue import (
+    UpdateQueue,
+    update_budget,
+)
 
 DATAGRAM_OVERHEAD = 28
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """One socket with the queue of news that leaves by it.
+    """One socket and the queue of updates that it transmits.
 
     Parameters
     ----------
     table : MemberTable
     sealer : Sealer
     period : float
-        Seconds between two probes, by which news is rationed.
+        Seconds between two probes; the budget of updates is per period.
     clock : callable
     receive : callable
         Takes each authentic packet and its sender's address.
@@ -28,8 +31,8 @@
         self.sealer = sealer
         self.clock = clock
         self.receive = receive
-        self.news = NewsQueue()
-        self.budget = news_budget(clock(), period)
+        self.updates = UpdateQueue()
+        self.budget = update_budget(clock(), period)
         self.configuration = 0
         self.transport = None
         self.packets_sent = 0
@@ -53,7 +56,7 @@
             self.transport.close()
 
     def send(self, kind, sequence, target, address, wants=False, first=b""):
-        """Send one packet with as much news as it and the budget hold.
+        """Send one packet with as many updates as it and the budget hold.
 
         Parameters
         ----------
@@ -65,7 +68,7 @@
         wants : bool
             Whether to ask for the receiver's record.
         first : bytes
-            Encoded news that this receiver must get.
+            Encoded updates that this receiver must get.
         """
         if self.transport is None or self.transport.is_closing():
             return
@@ -79,34 +82,29 @@
             target,
             wants,
         )
-        news = self.pick_news(packet, first)
-        datagram = self.sealer.seal(packet, news)
-        self.budget.spend(sum(map(len, news)))
+        updates = self.pick_updates(packet, first)
+        datagram = self.sealer.seal(packet, updates)
+        self.budget.spend(sum(map(len, updates)))
         self.packets_sent += 1
         self.bytes_sent += len(datagram) + DATAGRAM_OVERHEAD
         self.transport.sendto(datagram, address)
 
-    def pick_news(self, packet, first):
-        """Return the encoded news for a packet."""
+    def pick_updates(self, packet, first):
+        """Return the encoded updates for a packet."""
         room = self.sealer.room(packet) - len(first)
-        if not self.news.level_of:
+        if not self.updates.level_of:
             return (first,)
         room = min(room, self.budget.available(self.clock()))
-        news = self.news.take(room, self.encode, self.table.live_count())
-        return (first, *news)
+        updates = self.updates.take(room, self.encode, self.table.live_count())
+        return (first, *updates)
 
     def encode(self, name):
-        """Return the bytes of a member's news; none once it is forgotten."""
+        """Return the encoded update of a member; none once it is forgotten."""
         member = self.table.members.get(name)
         return encode_update(member) if member else b""
 
     def datagram_received(self, data, address):
-        """Open a datagram; what is not authentic changes nothing.
-
-        Anybody who reaches the port can send to it, and a record made of
-        garbage could declare others dead. Such datagrams are only counted
-        (`strays` on the status).
-        """
+        """Open a datagram; one that is not authentic is only counted."""
         self.bytes_received += len(data) + DATAGRAM_OVERHEAD
         try:
             packet = self.sealer.open(data)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/joining.py
@@ -16,22 +16,18 @@
 JOIN_FIRST_SECONDS = 0.5
 """First pause between two tries to meet somebody."""
 JOIN_MAX_SECONDS = 2.0
-"""Longest pause between two tries while this daemon is alone. A fleet that was
-killed whole while the store was away is found again by its rows alone; for up
-to this long after the store is back, calls still find no upstream."""
+"""Longest delay between two tries while this daemon is alone."""
 SEEDS_MET = 16
-"""Seeds that a starting daemon speaks to: all of a small fleet, so that those
-who start together have met when the last one is up. One seed knows only who
-was there before it; the rest came by gossip, and for two seconds after a
-restart of 15 daemons calls found no upstream."""
+"""Seeds that a starting daemon contacts: all of a small fleet. A single seed
+knows only the members that started before it."""
 SEED_TURN_SECONDS = 0.1
 """How long one seed has to answer before the next is asked for the whole list
-too: many times what a sound one takes, a tenth of what a dark one costs."""
+too."""
 SEED_FIRST_SECONDS = 2.0
 """First pause before the row's upkeep, doubled up to `REFRESH_SECONDS`."""
 KEEP_JITTER_SECONDS = 0.5
-"""Longest random wait before a row is read again or written: a hundred times
-what the store takes, so that the first of a domain is done before most."""
+"""Longest random delay before a row is read again or written, so that the
+first daemon of a domain spares the others the write."""
 log = logbook.Logger("papayabay.membership")
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -13,26 +13,24 @@
 from papayabay_daemon._internal.membership.drawing import random_peers
 from papayabay_daemon._internal.membership.exchange import Exchange
 from papayabay_daemon._internal.membership.gossip import Gossip
-from papayabay_daemon._internal.membership.hearing import Hearing
 from papayabay_daemon._internal.membership.incarnations import (
     first_incarnation,
     incarnation_above,
 )
 from papayabay_daemon._internal.membership.joining import Joining
 from papayabay_daemon._internal.membership.packets import Sealer, Update, encode_full
+from papayabay_daemon._internal.membership.receiving import PacketReceiver
 from papayabay_daemon._internal.membership.seeds import SeedRows
 from papayabay_daemon._internal.membership.table import MemberTable
 
 LEAVE_SECONDS = 0.5
 LEAVE_PEERS = 8
-TOLD_AT_ONCE = 16
-"""Members that hear of a new target without waiting for gossip: all of a small
-fleet, in 100 bytes each. By gossip alone it takes some periods, in which a
-target that has just started stands idle."""
-TOLD_OF_VERSION = 64
-"""Members that a reader tells of a new version without waiting for gossip: all
-of a failure domain of some tens, in 60 bytes each. Further ones hear of it by
-pushes between peers and by gossip, within two periods."""
+ANNOUNCE_FAN_OUT = 16
+"""Members that an announcement is sent to directly: all of a small fleet.
+Gossip alone takes some periods, in which a new target is idle."""
+VERSION_FAN_OUT = 64
+"""Members that a reader sends a new version to directly: all of a failure
+domain of some tens. Others receive it by pushes and gossip."""
 log = logbook.Logger("papayabay.membership")
 
 
@@ -81,7 +79,7 @@
         self.detector = Detector(
             settings.timing, self.table, self.gossip, random, clock, self.apply
         )
-        self.hearing = Hearing(
+        self.receiver = PacketReceiver(
             self.table, self.gossip, self.detector, self.apply, clock
         )
         self.exchange = Exchange(self.table, links, self.apply)
@@ -130,24 +128,24 @@
 
     def on_newer_configuration(self, callback):
         """Call back with a version above the own and who has it."""
-        self.hearing.version_listeners.append(callback)
+        self.receiver.version_listeners.append(callback)
 
     def silence(self):
-        """Return for how many seconds no other member has been heard."""
-        return self.clock() - self.hearing.heard_at
+        """Return the seconds since a packet of another member arrived."""
+        return self.clock() - self.receiver.received_at
 
     def set_configuration(self, version):
         """Set the configuration version that packets carry."""
         self.gossip.configuration = version
 
-    def tell_configuration(self, peers):
-        """Send some members the version that packets carry, now.
+    def announce_version(self, peers):
+        """Send some members the configuration version at once.
 
         Parameters
         ----------
         peers : list of Member
         """
-        drawn = self.random.sample(peers, min(len(peers), TOLD_OF_VERSION))
+        drawn = self.random.sample(peers, min(len(peers), VERSION_FAN_OUT))
         for peer in drawn:
             self.detector.ping(peer, self.detector.next_sequence())
 
@@ -160,7 +158,7 @@
         vm = self.settings.vm
         port = await self.gossip.open(vm.host, vm.gossip_port)
         self.table.change_local(gossip_port=port)
-        self.gossip.news.add(self.local.name)
+        self.gossip.updates.add(self.local.name)
 
     async def run(self):
         """Take part until cancelled."""
@@ -175,35 +173,35 @@
             self.gossip.close()
 
     def announce(self, service, slots):
-        """Tell all that the target beside this daemon takes calls."""
+        """Announce that the target beside this daemon takes calls."""
         if (service, slots) != (self.local.service, self.local.slots):
             self.change_local(service=service, slots=slots)
-            self.tell_some()
+            self.announce_record()
 
     def withdraw(self):
-        """Tell all that there is no target any more."""
+        """Withdraw the announcement of the target."""
         if self.local.service:
             self.change_local(service="", slots=0)
-            self.tell_some()
+            self.announce_record()
 
-    def tell_some(self):
-        """Send the own record to several members now."""
+    def announce_record(self):
+        """Send the own record to several members at once."""
         record = encode_full(self.local)
-        for peer in random_peers(self.table, TOLD_AT_ONCE, self.random):
+        for peer in random_peers(self.table, ANNOUNCE_FAN_OUT, self.random):
             self.detector.ping(peer, self.detector.next_sequence(), record)
 
     def change_local(self, heard=0, **fields):
         """Change the own record under an incarnation above all former."""
         incarnation = incarnation_above(self.local.incarnation, heard)
         self.table.change_local(incarnation=incarnation, **fields)
-        self.gossip.news.add(self.local.name)
-        self.tell(self.local)
+        self.gossip.updates.add(self.local.name)
+        self.notify(self.local)
 
     async def leave(self):
-        """Tell several members at once that this daemon leaves.
+        """Announce to several members that this daemon leaves.
 
-        Returns after `LEAVE_SECONDS` at the latest; whoever has not heard
-        learns it from the refusals or by gossip.
+        Returns after `LEAVE_SECONDS` at the latest; others learn it from
+        refusals or by gossip.
         """
         self.change_local(state=MemberState.LEAVING)
         peers = random_peers(self.table, LEAVE_PEERS, self.random)
@@ -221,15 +219,15 @@
         self.detector.hurry(name)
 
     def mark_leaving(self, name):
-        """Take in that a member itself said that it leaves."""
+        """Apply a member's own announcement that it leaves."""
         member = self.table.get(name)
         if member is not None and member is not self.local:
             self.apply(Update(name, member.incarnation, MemberState.LEAVING))
 
     def apply(self, update, gossip=True):
-        """Take in news of any member, this one too; gossip it on or not."""
+        """Apply an update of any member; gossip it on or not."""
         if update.name == self.local.name:
-            self.hear_of_self(update)
+            self.refute(update)
             return
         strange = update.name not in self.table.members
         member = self.table.apply(update, self.clock())
@@ -239,21 +237,19 @@
             self.detector.joined(member.name)
         self.detector.suspicions.changed(member)
         if gossip:
-            self.gossip.news.add(member.name)
-        self.tell(member)
+            self.gossip.updates.add(member.name)
+        self.notify(member)
 
-    def tell(self, member):
+    def notify(self, member):
         """Call the listeners."""
         for listener in self.listeners:
             listener(member)
 
-    def hear_of_self(self, update):
-        """Refute what others wrongly believe of this daemon.
+    def refute(self, update):
+        """Refute a wrong update of this daemon by a higher incarnation.
 
-        That may be suspicion or death, concluded while this process was
-        paused, or a record of an earlier process of this name. Left
-        standing, it would keep calls away from a healthy target; a higher
-        incarnation wins over it everywhere.
+        It may be a suspicion from a pause of this process, or a record of an
+        earlier process of this name.
         """
         own = (self.local.incarnation, self.local.state)
         if (update.incarnation, update.state) <= own:
@@ -278,7 +274,7 @@
 
     def take_packet(self, packet, address):
         """Take in a packet and answer it."""
-        self.hearing.take_packet(packet, address)
+        self.receiver.take_packet(packet, address)
 
     def status(self):
         """Return counters and the state of membership as plain values."""
@@ -292,14 +288,14 @@
             "suspected": len(self.detector.suspicions),
             "health": self.detector.health,
             "pauses": self.detector.pauses,
-            "news_waiting": len(gossip.news),
+            "news_waiting": len(gossip.updates),
             "packets_sent": gossip.packets_sent,
             "packets_received": gossip.packets_received,
             "bytes_sent": gossip.bytes_sent,
             "bytes_received": gossip.bytes_received,
             "strays": gossip.strays,
             "send_errors": gossip.send_errors,
-            "misdirected": self.hearing.misdirected,
+            "misdirected": self.receiver.misdirected,
             "refutations": self.refutations,
             "name_conflicts": self.name_conflicts,
             "members_refused": self.table.refused,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/hearing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/receiving.py
@@ -1,10 +1,10 @@
-"""Takes in packets and answers them."""
+"""Receives gossip packets and answers them."""
 
 from papayabay_daemon._internal.membership.packets import Kind, encode_short
 
 
-class Hearing:
-    """What this daemon does with each packet that others send.
+class PacketReceiver:
+    """Applies the updates of packets, and answers probes.
 
     Parameters
     ----------
@@ -17,10 +17,10 @@
 
     Attributes
     ----------
-    heard_at : float
-        When the last packet of another member came in.
+    received_at : float
+        When the last packet of another member arrived.
     version_listeners : list of callable
-        Called with a version above the own and who has it.
+        Called with a newer version and the member that holds it.
     misdirected : int
     """
 
@@ -31,22 +31,22 @@
         self.detector = detector
         self.apply = apply
         self.clock = clock
-        self.heard_at = clock()
+        self.received_at = clock()
         self.version_listeners = []
         self.misdirected = 0
 
     def take_packet(self, packet, address):
-        """Take in a packet and answer it."""
+        """Process a packet and answer it."""
         if packet.sender == self.local.name:
             self.misdirected += 1
             return
-        self.heard_at = self.clock()
+        self.received_at = self.clock()
         for update in packet.updates:
             self.apply(update)
         if packet.wants_record:
-            self.gossip.news.add(self.local.name)
+            self.gossip.updates.add(self.local.name)
         if packet.configuration > self.gossip.configuration:
-            self.tell_version(packet)
+            self.notify_version(packet)
         if packet.kind is Kind.PING:
             self.answer_ping(packet, address)
         elif packet.kind is Kind.ACK:
@@ -56,16 +56,16 @@
         else:
             self.detector.help(packet, address)
 
-    def tell_version(self, packet):
-        """Call those who wait for configuration versions."""
+    def notify_version(self, packet):
+        """Notify the listeners of a newer configuration version."""
         for listener in self.version_listeners:
             listener(packet.configuration, packet.sender)
 
     def answer_ping(self, packet, address):
-        """Answer, unless the ping was for who had this address before.
+        """Answer, unless the ping was for the former owner of this address.
 
-        The sender learns what is wrongly believed of it; when it is not
-        known as it is now, it is asked for its record.
+        The answer carries a suspicion of the sender, for it to refute, or
+        requests its record if the one known here is outdated.
         """
         if packet.target != self.local.name:
             self.misdirected += 1
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/spreading.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/update_queue.py
@@ -1,22 +1,21 @@
-"""Which news goes into the next packet, and how many bytes of it."""
+"""Which member updates go into the next packet, and how many bytes."""
 
 import math
 
-SENDS_BEYOND_LOG = 11
+EXTRA_TRANSMITS = 11
 BYTES_PER_PERIOD = 1_000
 BURST_PERIODS = 3
 
 
-def sends_of_news(members):
-    """Return how often each daemon passes one piece of news on.
+def transmit_limit(members):
+    """Return how often each daemon transmits one update.
 
-    As often as that, on average, each member hears it, from senders that
-    pick at random; so it misses it with a chance of e to the minus that.
-    With the logarithm of the members plus 11 the chance that anybody misses
-    it is e to the minus 11, 2 in 100,000, at every size; who does miss it
-    learns it by reconciling.
+    With random receivers, a member misses an update with a probability of e
+    to the minus this number. The logarithm of the members plus a constant
+    keeps the probability that any member does the same at every size.
+    Reconciliation delivers what was missed.
     """
-    return math.ceil(math.log(members + 1)) + SENDS_BEYOND_LOG
+    return math.ceil(math.log(members + 1)) + EXTRA_TRANSMITS
 
 
 class Budget:
@@ -50,23 +49,20 @@
         self.left = max(self.left - size, -float(self.burst))
 
 
-def news_budget(at, period):
-    """Return the budget of news for a gossip period in seconds.
+def update_budget(at, period):
+    """Return the budget of updates for a gossip period in seconds.
 
-    Probes have a fixed size and number per period and are not part of it:
-    if they were, a short period would leave nothing for news, and members
-    would be probed that nobody hears of.
+    Probes have a fixed size and number per period and are not part of it.
     """
     burst = BYTES_PER_PERIOD * BURST_PERIODS
     return Budget(at, BYTES_PER_PERIOD / period, burst)
 
 
-class NewsQueue:
-    """Names of changed members by how often their news was sent.
+class UpdateQueue:
+    """Names of changed members by how often their updates were transmitted.
 
-    Fresh news goes before repeated news and, when it does not all fit in
-    the budget, the least sent goes first: 650 deaths at once are each told
-    once by somebody before any is told twice.
+    The least transmitted update goes first, so that of many deaths at once
+    each is transmitted before any is repeated.
     """
 
     def __init__(self):
@@ -77,19 +73,19 @@
         return len(self.level_of)
 
     def add(self, name):
-        """Put news of a member in front."""
+        """Queue an update of a member in front."""
         self.drop(name)
         self.levels[0][name] = None
         self.level_of[name] = 0
 
     def drop(self, name):
-        """Forget news of a member."""
+        """Remove the update of a member."""
         level = self.level_of.pop(name, None)
         if level is not None:
             del self.levels[level][name]
 
     def take(self, room, encode, members):
-        """Return encoded news, the least sent first.
+        """Return encoded updates, the least transmitted first.
 
         Parameters
         ----------
@@ -101,7 +97,7 @@
             Size of the cluster, which bounds the repeats.
         """
         chosen = self.choose(room, encode)
-        limit = sends_of_news(members)
+        limit = transmit_limit(members)
         for name, _ in chosen:
             self.count(name, limit)
         return [content for _, content in chosen if content]
@@ -119,7 +115,7 @@
         return chosen
 
     def count(self, name, limit):
-        """Move news one level on, or drop it when it was sent enough."""
+        """Move an update one level on, or drop it at its limit."""
         sent = self.level_of[name] + 1
         self.drop(name)
         if sent >= limit:
--- a/tests/unit/daemon/test_confirmations.py
+++ b/tests/unit/daemon/test_confirmations.py
@@ -26,7 +26,7 @@
     def set_configuration(self, version):
         pass
 
-    def tell_configuration(self, peers):
+    def announce_version(self, peers):
         pass
 
 
--- a/tests/unit/daemon/test_membership_exchange.py
+++ b/tests/unit/daemon/test_membership_exchange.py
@@ -58,7 +58,7 @@
         self.assertEqual(b.exchange.take_page(middle, 0), 7)
         self.assertEqual(b.exchange.take_page(last, 7), BUCKETS)
         self.assertEqual(len(b.live()), 3)
-        self.assertEqual(len(b.gossip.news), 0)
+        self.assertEqual(len(b.gossip.updates), 0)
 
     async def test_one_reconcile_evens_out_everything(self):
         """After regions were apart, daemons lacked most upstreams for minutes.
--- a/tests/unit/daemon/test_membership_joining.py
+++ b/tests/unit/daemon/test_membership_joining.py
@@ -204,11 +204,11 @@
         for number in range(200):
             member = Member(f"x{number}", 1, "127.0.0.1", 1, 1, 1, "d1", "r1")
             a.apply(Update(member.name, 1, MemberState.ALIVE, member))
-        a.gossip.news = type(a.gossip.news)()
+        a.gossip.updates = type(a.gossip.updates)()
         await b.exchange.join(a.local)
         self.assertEqual(len(b.live()), 202)
-        self.assertEqual(len(b.gossip.news), 0)
-        self.assertEqual(list(a.gossip.news.level_of), ["b"])
+        self.assertEqual(len(b.gossip.updates), 0)
+        self.assertEqual(list(a.gossip.updates.level_of), ["b"])
 
     async def test_a_store_that_was_away_for_long_is_noticed_within_two_seconds(self):
         """A fleet met ten seconds after the store was back.
--- a/tests/unit/daemon/test_membership_rules.py
+++ b/tests/unit/daemon/test_membership_rules.py
@@ -16,16 +16,16 @@
     encode_full,
     encode_short,
 )
-from papayabay_daemon._internal.membership.spreading import (
-    Budget,
-    NewsQueue,
-    sends_of_news,
-)
 from papayabay_daemon._internal.membership.table import (
     BUCKETS,
     TOMBSTONE_SECONDS,
     MemberTable,
 )
+from papayabay_daemon._internal.membership.update_queue import (
+    Budget,
+    UpdateQueue,
+    transmit_limit,
+)
 
 ALIVE, SUSPECT, LEAVING, DEAD = MemberState
 
@@ -159,7 +159,7 @@
                 decode_updates(record[:size])
 
     def test_news_stays_within_packet_and_budget(self):
-        queue, budget = NewsQueue(), Budget(0.0, rate=100, burst=2_000)
+        queue, budget = UpdateQueue(), Budget(0.0, rate=100, burst=2_000)
         dead = {f"vm-{n}": make_member(f"vm-{n}") for n in range(650)}
         for name in dead:
             queue.add(name)
@@ -177,7 +177,7 @@
         self.assertEqual(budget.available(16.0), 1_100 - 100 * 1 + 100)
 
     def test_news_is_repeated_a_bounded_number_of_times(self):
-        queue = NewsQueue()
+        queue = UpdateQueue()
         queue.add("a")
         sent = 0
         while queue.take(1_000, lambda name: b"x", 13_000):
@@ -188,7 +188,7 @@
     def test_hardly_any_member_misses_a_piece_of_news(self):
         for members in (3, 20, 100, 1_000, 13_000, 32_768):
             with self.subTest(members):
-                missed = members * math.exp(-sends_of_news(members))
+                missed = members * math.exp(-transmit_limit(members))
                 self.assertLess(missed, 2e-5)
 
     def test_bucket_count_fits_its_number(self):
--- a/tests/unit/daemon/test_version_watching.py
+++ b/tests/unit/daemon/test_version_watching.py
@@ -38,7 +38,7 @@
     def set_configuration(self, version):
         pass
 
-    def tell_configuration(self, peers):
+    def announce_version(self, peers):
         self.told.append({peer.name for peer in peers})
 
 
