--- a/packages/papayabay-core/src/papayabay_core/http/requester.py
+++ b/packages/papayabay-core/src/papayabay_core/http/requester.py
@@ -47,9 +47,8 @@
 class Requester:
     """Sends requests, and keeps connections for further ones.
 
-    These are the connections on which a daemon speaks to its target. A
-    library with sessions and cookies beside them costs 7 MB in each process,
-    a fifth of it, and a tenth of a second of processor time at each start.
+    Used towards the target and the platform's services, in place of a client
+    library whose memory and start-up time each process would pay for.
 
     Parameters
     ----------
--- a/packages/papayabay-core/src/papayabay_core/models.py
+++ b/packages/papayabay-core/src/papayabay_core/models.py
@@ -69,9 +69,8 @@
 class Model(Struct, frozen=True, kw_only=True):
     """Values that were checked against their types.
 
-    The library that decodes calls between daemons checks these as well: a
-    second one for it cost 6 MB in each process, a fifth of it, and 0.15 s of
-    processor time at each start.
+    They use the library that decodes calls between daemons; a second one
+    would add to the memory and the start-up time of each process.
 
     Attributes
     ----------
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -15,10 +15,8 @@
 AccountName = Annotated[str, Meta(pattern=r"^[\x21-\x7e]{1,200}\Z")]
 KeyDigest = Annotated[str, Meta(pattern=DIGEST_PATTERN)]
 CallName = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}\Z")]
-# Methods are compared letter by letter, and all in use are upper case. Were
-# "post" accepted, the call path would never match, and its calls would get
-# the default rule: critical ones would be refused like look-ups, and all one
-# would see is the name "default" in `papayabay explain`.
+# Methods are compared case-sensitively. A call path declared for "post" would
+# never match, and its calls would silently get the default rule.
 Method = Annotated[str, Meta(pattern=r"^[A-Z0-9!#$%&'*+.^_`|~-]{1,32}\Z")]
 
 
@@ -187,10 +185,9 @@
 def validate_change(values, source, known_values, known):
     """Return the document made of plain values that differ in little.
 
-    Only services whose values are other objects than before are validated:
-    a merge patch shares everything that it does not touch. The whole of 490
-    services takes a tenth of a second, for which a daemon would stand still
-    at every patch.
+    Only services whose values are other objects than before are validated: a
+    merge patch shares what it does not touch. Validating hundreds of services
+    at each patch would block the daemon.
 
     Parameters
     ----------
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_search.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_search.py
@@ -1,28 +1,22 @@
 """Finds how many slots in use make a target finish the most.
 
-Some targets slow down when they are nearly full: one that takes 1.3 times as
-long beyond 95 in 100 of its slots finishes a fifth more with two of 26 slots
-left free. No target tells of it, and how full is too full differs. So a daemon
-tries: while calls wait, it hands over a little less than all slots allow for a
-while, and keeps to what finished most. How long is counted in finished calls
-and in their usual length: a target that works on each for a quarter of a
-second finishes in a second what another does in a tenth.
+Some targets slow down when they are nearly full, and do not report it. While
+calls are queued, a daemon tries concurrency limits somewhat below all slots
+for a while, and keeps the one with the highest throughput. The length of a
+trial is counted in finished calls, so that it fits slow and fast targets
+alike.
 """
 
 SHARES = (1.0, 0.94, 0.88, 0.8)
-"""Parts of the slots that are tried, each from the one beside it. A slow-down
-sets in late where there is one; of ten slots a step is about one."""
+"""Shares of the slots that are tried, each from its neighbour."""
 WINDOW_CALLS = 100
-"""Calls finished in the time that a part is tried. Their number scatters by 4
-in 100 where single times differ by half, so that two or three windows tell
-apart what `LEAST_GAIN` asks for. Fixed windows of 0.3 s held 19 calls of a
-quarter of a second at 15 slots, and finished 1.5 in 100 less."""
+"""Calls finished in a trial; enough that random variation stays below
+`LEAST_GAIN`."""
 SETTLE_LENGTHS = 2.0
-"""Usual lengths of a call that are left out at the beginning of a window,
-where calls of the one before end."""
+"""Mean durations of a call that are ignored at the beginning of a trial, while
+calls of the one before finish."""
 TRY_AGAIN_WINDOWS = 12
-"""Age, in windows, at which what is known of a neighbour is looked at anew: a
-sixth of the time goes into looking."""
+"""Trials after which the result of a neighbouring share is re-evaluated."""
 WEIGHT = 0.4
 """Of the latest window."""
 LEAST_GAIN = 1.06
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -92,9 +92,8 @@
     def parent_of(self, parent_id, expires_at):
         """Return the token of the call that a request is made for, or "".
 
-        By the end of life, one request in thirty that callers sent was tied
-        to a call of the target by chance. So that is left as soon as targets
-        are seen to name their parents.
+        Equal deadlines may be a coincidence. They are only compared until a
+        target has named a parent.
 
         Parameters
         ----------
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/log_lines.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/log_lines.py
@@ -5,25 +5,21 @@
 from collections import deque
 
 BUFFER_BYTES = 256 * 1024
-"""What may wait for a slow reader of the log; about a thousand lines."""
+"""Buffered output of a slow reader; about a thousand lines."""
 FLUSH_SECONDS = 0.1
-"""How long lines on single requests wait to be written together; writing each
-by itself cost a tenth of an entry daemon's processor time."""
+"""How long lines on single requests are batched."""
 FLUSH_BYTES = 16 * 1024
-"""What is written at once, however short it waited; a few dozen lines."""
+"""Batch size that is written at once."""
 LINES_PER_SECOND = 300.0
-"""Lines on single requests that are written on average. A daemon of the size
-to design for takes 108 calls a second and its target makes as many; what an
-overload adds beyond that repeats itself."""
+"""Rate limit of lines on single requests."""
 BURST_LINES = 600.0
 
 
 class LineWriter:
     """Writes lines to a file descriptor that may take no more for a while.
 
-    A process that waited for the reader of its log would stand still with
-    all of its calls. What does not fit is dropped and counted instead, and
-    the count stands in the next line that gets through.
+    Lines that exceed the buffer are dropped, and their number is written with
+    the next line: waiting for the reader would block all calls.
 
     Parameters
     ----------
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -1,4 +1,4 @@
-"""Bounds the repeats that reach the target beside this daemon."""
+"""Enforces the retry budget beside the target."""
 
 from dataclasses import asdict
 from functools import partial
@@ -14,20 +14,16 @@
 from papayabay_daemon._internal.retries.window import RepeatWindow
 
 COUNTED = ("first_attempts", "first_missed", "arrived", "refused")
-"""What metrics tell: first attempts handed to the target, and those of them
-that it never saw; repeats that it was handed, and those beyond the budget."""
+"""Counters: first attempts handed to the target, and those of them that never
+reached it; retries handed to it, and those refused."""
 log = logbook.Logger("papayabay.retries")
 
 
 class ArrivalBudget:
-    """The part that one daemon has in a service's budget for repeats.
+    """One daemon's part of a service's retry budget.
 
-    All daemons together may let a share of a service's requests reach it a
-    second time. The daemons beside the service's targets keep to that: every
-    arrival passes one of them, and they are few. Kept by those who call, the
-    budget lay in as many parts as there are callers: of 213 repeats for 195
-    daemons each had less than one, and a service whose calls come from
-    everywhere, three a second from each, got none at all.
+    Enforced at the callee: every arrival passes one daemon, and callees are
+    few.
 
     Parameters
     ----------
@@ -55,25 +51,25 @@
         self.shortage = BudgetShortage(log)
 
     def check(self, call):
-        """Let a call on its way to the target.
+        """Admit a call on its way to the target.
 
         Returns
         -------
         RepeatWindow or None
-            The account that the call's arrival or its end belongs to; None
-            where there is no budget to keep to.
+            The window that the call's arrival or its end belongs to; None
+            without a budget.
 
         Raises
         ------
         CallError
-            RETRIES_SPENT for a repeat that is beyond the budget.
+            RETRIES_SPENT for a retry beyond the budget.
         """
         retries = self.policy_source().retries(call.service)
         if retries.window_ms is None:
             return None
         window = self.window_of(call.service, retries.window_ms / 1_000)
-        # Counted while there are no repeats too: who leaves before the first
-        # of them may have spent a part by then.
+        # Counted without retries too: a daemon that leaves may have spent its
+        # part by then.
         self.sharers.count(call.service, window.window_s)
         if not call.repeated:
             return window
@@ -87,11 +83,10 @@
         raise CallError(ErrorKind.RETRIES_SPENT, "the service's budget is spent")
 
     def arrived(self, call, window):
-        """Note that a call has reached the target.
+        """Count a call that has reached the target.
 
-        First attempts are counted here and not on their way: one that is
-        refused for load is tried at other daemons, where it is a first attempt
-        as well, and would earn repeats at each of them.
+        A first attempt that is refused on its way is a first attempt again at
+        the next daemon, and must not earn retries at both.
         """
         if window is None:
             return
@@ -104,10 +99,10 @@
             self.counters["first_attempts"] += 1
 
     def ended(self, call, window, answer):
-        """Take a first attempt off the account that the target never saw.
+        """Take back a first attempt that never reached the target.
 
-        It is tried elsewhere as a first one. A repeat stays counted, which
-        errs towards too few of them.
+        It is tried elsewhere as a first one. A retry stays counted, which
+        errs on the safe side.
         """
         if window is None or call.repeated or answer.kind not in KEPT_FROM_TARGET:
             return
@@ -115,7 +110,7 @@
         self.counters["first_missed"] += 1
 
     def give_back(self, call, window):
-        """Note that a call won't reach the target."""
+        """Release the reservation of a call that won't reach the target."""
         if window is not None and call.repeated:
             window.give_back()
 
@@ -128,12 +123,12 @@
         return {**self.counters, "arrived_by_class": by_class}
 
     def levels(self):
-        """Return how the account stands now, for metrics.
+        """Return the state of the budget, for metrics.
 
         Returns
         -------
         dict of str to float
-            Empty while there is no budget to keep to.
+            Empty without a budget.
         """
         if self.window is None:
             return {}
@@ -143,10 +138,9 @@
         return asdict(self.window.tightest(retries, self.sharers.most()))
 
     def window_of(self, service, window_s):
-        """Return the account of the service that the target offers now.
+        """Return the window of the service that the target offers now.
 
-        Another service, or another length of the window, begins a new one. It
-        has nothing saved up, as after a restart.
+        Another service, or another length of the window, begins an empty one.
         """
         if self.service != service or self.window.window_s != window_s:
             self.service = service
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -7,14 +7,13 @@
 from papayabay_core.errors import ERROR_ANSWERS, Effect, ErrorKind
 
 FIRST_PAUSE_SECONDS = 0.010
-"""Longest pause before the second attempt: a fifth of a short call."""
+"""Longest backoff before the second attempt."""
 MAX_PAUSE_DOUBLINGS = 6
-"""Pauses end at 0.64 s, beyond which few calls live."""
 MOST_REJECTED_DOUBLINGS = 1
-"""The same after a target turned a call away with slots free: there is no load
-that a longer pause would spare, and the call's life goes on."""
+"""The same after a target rejected a call with slots free, where a longer
+backoff would relieve nobody."""
 LIFE_SHARE = 0.25
-"""Of the life left, the most that a pause may take."""
+"""Largest part of the remaining lifetime that a backoff may take."""
 EXPIRED_STATUS = 504
 AGAIN = "again"
 """Reason of a decision that lets another attempt follow."""
@@ -31,8 +30,8 @@
         ErrorKind.ISOLATED,
     }
 )
-"""Ends of attempts of which the target saw nothing. Another attempt is the
-first to arrive, and takes nothing from what its service bears of repeats."""
+"""Outcomes of attempts that never reached a target. The next attempt is then
+the first to arrive, and does not count as a retry at its service."""
 
 
 @dataclass(slots=True)
@@ -73,13 +72,10 @@
             self.doubtful = answer
 
     def forget_rejections(self):
-        """Let the upstreams that rejected it be chosen again.
+        """Admit the upstreams that rejected it as choices again.
 
-        A target that turns calls away with slots free does so to some of
-        them, whatever their standing: another attempt is as good there as
-        the first was. With four upstreams that each turn away half, one call
-        in sixteen is rejected by all, and of whole requests that make eight
-        such calls four in ten.
+        A target that rejects calls with slots free does so at random: another
+        attempt has the same chance there as the first.
 
         Returns
         -------
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/shortage.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/shortage.py
@@ -1,12 +1,12 @@
-"""Tells when a service's budget of repeats runs out, and when it is back."""
+"""Logs when a service's retry budget is exhausted, and when it recovers."""
 
 QUIET_SECONDS = 2.0
-"""Without a refusal for so long, the budget is there again. In an overload it
-runs out and comes back with each call; lines for each would bury all else."""
+"""Time without a refused retry after which the budget counts as recovered. In
+an overload it is exhausted and replenished with each call."""
 
 
 class BudgetShortage:
-    """Logs that repeats are refused for a spent budget, and the end of that.
+    """Logs the first retry refused for an exhausted budget, and the recovery.
 
     Parameters
     ----------
@@ -27,8 +27,8 @@
         at : float
             Seconds on the account's clock.
         tightest : callable
-            Returns the `BudgetUse` of the window with the least room. Asked
-            for the line alone: it takes as long as deciding on the repeat.
+            Returns the `BudgetUse` of the window with the least room; called
+            for the log line only.
         """
         if self.refusals == 0:
             use = tightest()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -1,4 +1,4 @@
-"""Repeats of one service in a sliding window, within a part of a budget."""
+"""Retries of one service in a sliding window, within a part of a budget."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -7,28 +7,27 @@
 from papayabay_core.importance import Importance
 
 SLICES = 20
-"""Parts that a window is counted in. A window may begin anywhere in its first
-slice, so that up to a twentieth more repeats are counted than it has."""
+"""Slices that a window is counted in. A window may begin anywhere in its first
+slice, so that retries are rather counted too long than too short."""
 EARNED_EACH_TIME = 0.5
-"""Of the ratio, what a first attempt earns in the windows that began before it
-and in those that begin within a window after it. A half for each lets a
-process spend half a window's budget at once, and grants half the ratio from
-the first call of a new one; more for the former would leave less to a trouble
-that has just begun, more for the latter less to a process that has."""
+"""Part of the ratio that a first attempt earns in the windows that began
+before it, and in those that begin within a window after it. A half for each
+lets a process spend half a window's budget at once, and a new one earn half
+the ratio from its first call."""
 SPARE_SHARE = 0.1
-"""Part of the budget that is left unused: for daemons that know a member fewer
-or more than others do, and for calls of repeated runs that can't be told from
-others, as their run was begun through an earlier process."""
+"""Part of the budget that is left unused, for daemons whose views of the
+members differ, and for calls of retried runs that were begun through an
+earlier process and can't be recognized."""
 CLASS_SHARES = {
     Importance.CRITICAL: 1.0,
     Importance.NORMAL: 0.9,
     Importance.SHEDDABLE: 0.8,
 }
-"""Part of the budget that each class may use up, so that critical calls that
-come when all of it was wanted by others find some."""
+"""Part of the budget that each class may use, so that some is left for
+critical calls."""
 PACE_SLICES = 4
-"""Slices over which lesser classes are kept to the pace at which the budget
-comes back: two seconds of ten, long enough for one of ten repeats a window."""
+"""Slices over which lesser classes are held to the rate at which the budget is
+replenished."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,21 +57,15 @@
 
 
 class RepeatWindow:
-    """First attempts and repeats of one service that reach one target.
-
-    All daemons together may let a share of a service's requests be repeated
-    in any window, and so many repeats more; the requests are those of the
-    window or of the one before it. Each daemon keeps to an equal part of the
-    latter, and in every window, whenever it began, to that share of the mean
-    of its first attempts in the window and in the one before.
-
-    The mean is no more than the larger of both, and only adds up what arrived.
-    So the parts of all daemons are together no more than the whole, wherever
-    the load goes, and so are those of a process and its successors. Were each
-    let spend all that the last window earned, what one had saved up could be
-    spent, forgotten when it is killed, and earned anew by the next: half as
-    much again as the budget, when all start anew in an overload. A bucket as
-    large as a window's budget would do the same without any restart.
+    """First attempts and retries of one service that reach one target.
+
+    In any window, all daemons together may let a share of a service's requests
+    be retried, and a fixed number more; the requests are those of the window
+    or of the one before it. Each daemon keeps to an equal part of the fixed
+    number, and to that share of the mean of its first attempts in the window
+    and in the one before. The mean is no more than the larger of both and is
+    additive, so that the parts of all daemons, and of a process and its
+    successors, never exceed the whole.
 
     Parameters
     ----------
@@ -198,25 +191,20 @@
         ]
 
     def fixed_part(self, retries, members):
-        """Return the repeats that need no first attempts to earn them.
+        """Return the retries that need no first attempts to earn them.
 
-        None for the length of a window after the start: what a new process
-        lets through comes on top of what the one before it did, and it doesn't
-        know yet how many others there are.
+        None for the length of a window after the start: the process before
+        may have spent them.
         """
         if self.clock() - self.begun_at < self.window_s:
             return 0.0
         return retries.window_repeats / max(1, members)
 
     def outpaces(self, allowed):
-        """Return whether the budget is used up faster than it comes back.
+        """Return whether the budget is used faster than it is replenished.
 
         When all upstreams of a service fail, the many calls of the least
-        class would spend the budget of a whole window within a second, each
-        on a request that still fails: one that makes eight calls, half of
-        which are turned away, needs eight repeats to end well. Critical calls
-        that repeat use up this pace by themselves, and lesser ones then stand
-        back; while none do, nothing is left idle for them.
+        class could otherwise spend a whole window's budget within a second.
 
         Parameters
         ----------
