Grant tokens as soon as a new process has read the seeds

Change: seeds that were read in the store hold their places on the ring, so that a new process takes about its own part from then on and grants it.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/ring.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/ring.py
@@ -16,7 +16,9 @@
 SETTLE_SECONDS = 0.5
 MIN_SETTLE_SECONDS = 0.4
 MAX_SETTLE_SECONDS = 3.0
-"""A new process relies on its ring once that has not grown for some time."""
+"""A new process relies on its ring once that has not grown for some time, or
+contains the seeds of the store."""
+MIN_SEEDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +52,7 @@
     Parameters
     ----------
     members : Membership
-        Besides `Members`: `lost_since`, `lost_count`.
+        Besides `Members`: `lost_since`, `lost_count`, `listed_seed_count`.
     clock : callable
         Seconds.
 
@@ -140,10 +142,16 @@
         """Note whether the ring of a new process may be relied on by now."""
         if self.settled_at is not None:
             return
+        if self.may_rely_on_ring(moment):
+            self.settled_at = moment
+
+    def may_rely_on_ring(self, moment):
+        """Return whether the ring holds about all members by now."""
         age = moment - self.started_at
+        if age >= MAX_SETTLE_SECONDS or self.members.listed_seed_count() >= MIN_SEEDS:
+            return True
         is_still = moment - self.grown_at >= SETTLE_SECONDS
-        if (is_still and age >= MIN_SETTLE_SECONDS) or age >= MAX_SETTLE_SECONDS:
-            self.settled_at = moment
+        return is_still and age >= MIN_SETTLE_SECONDS
 
     def make_places(self, live, held):
         """Return the members by position."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -129,6 +129,10 @@
         """Return how many members are dead and remembered, or never met."""
         return len(self.table.tombstones) + len(self.unmet_seeds())
 
+    def listed_seed_count(self):
+        """Return how many seeds the store listed at the last try to join."""
+        return len(self.joining.listed_seeds)
+
     def unmet_seeds(self):
         """Return the seeds that a new process has not met.
 
--- a/tests/unit/daemon/limits_fleet.py
+++ b/tests/unit/daemon/limits_fleet.py
@@ -60,6 +60,9 @@
     def lost_count(self):
         return len(self.died) + len(self.unmet_seeds())
 
+    def listed_seed_count(self):
+        return len(self.seeds)
+
     def unmet_seeds(self):
         return [
             member
@@ -337,6 +340,18 @@
     await sending
 
 
+async def all_restarted(fleet):
+    """All processes start again just before an account's usual requests."""
+    await fleet.send("a", USUAL, 2.0)
+    fleet.kill(list(fleet.members))
+    await asyncio.sleep(1.0)
+    fleet.arrivals.clear()
+    fleet.admitted.clear()
+    fleet.start(fleet.members)
+    await asyncio.sleep(START_S)
+    await fleet.send("a", USUAL, 4.0)
+
+
 async def lowered(fleet):
     sending = asyncio.ensure_future(fleet.send("a", USUAL, 20.0))
     await asyncio.sleep(8.0)
--- a/tests/unit/daemon/test_account_limits.py
+++ b/tests/unit/daemon/test_account_limits.py
@@ -76,6 +76,12 @@
         for size in (2, 62, 195):
             self.assert_held(play(fleets.all_killed, size))
 
+    def test_a_restart_of_all_costs_little_more_than_its_time(self):
+        """Guards against limits that can't be checked long after a restart."""
+        fleet = play(fleets.all_restarted, 62)
+        self.assert_held(fleet)
+        self.assertLess(fleet.lost("a"), 0.05)
+
     def test_a_partition_grants_no_limit_twice(self):
         """Guards against a keeper on each side that grants all of it."""
         for size in (62, 195):
