--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -6,6 +6,7 @@
 
 from papayabay_core.calls import Call
 from papayabay_core.errors import CallError, Effect, ErrorKind
+from papayabay_core.policy.accounts import Account
 from papayabay_core.utils.clock import now
 from papayabay_core.utils.identifiers import new_identifier
 from papayabay_daemon._internal.calls.answers import (
@@ -14,11 +15,12 @@
     error_answer,
 )
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
-from papayabay_daemon._internal.lifetime.ranks import rank_of, standing_of
+from papayabay_daemon._internal.lifetime.ranks import rank_of, rank_within, standing_of
 from papayabay_daemon._internal.retries import CreditAccount
 
 UNLIMITED_SECONDS = 600.0
 """Life of a request where policy turns deadlines off."""
+NO_ACCOUNT = Account(name="", importance=None, limit=None)
 
 
 class CallFlow:
@@ -241,12 +243,12 @@
         life = entry_deadline(rule, incoming.deadline_ms)
         if not decisions.deadlines:
             life = UNLIMITED_SECONDS
+        account = identity.account if identity else NO_ACCOUNT
+        declared = rule.importance if account.importance is None else account.importance
         rank = rank_of(incoming.idempotency_key or request_id)
-        declared = rule.importance
-        account = identity.account if identity else None
-        if account is not None and account.importance is not None:
-            declared = account.importance
         importance, rank = standing_of(declared, rank, decisions.kept_share)
+        if account.importance is not None and importance is declared:
+            rank = rank_within(rule.importance, rank)
         return Call(
             request_id=request_id,
             service=incoming.service,
@@ -264,7 +266,7 @@
             path_key=rule.path_key,
             attempts=rule.attempts,
             declared=None if importance is declared else declared,
-            account=account.name if account else "",
+            account=account.name,
             key_digest=identity.key_digest if identity else "",
         )
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -39,6 +39,21 @@
     return Importance.CRITICAL, int(rank / kept_share)
 
 
+def rank_within(importance, rank):
+    """Return the rank of a request whose account has a class of its own.
+
+    That class goes first; among requests of equal account classes, the ranks
+    of more important paths are lower than those of all others.
+
+    Parameters
+    ----------
+    importance : Importance
+        Of the path.
+    rank : int
+    """
+    return (importance * RANKS + rank) // len(Importance)
+
+
 def per_hop_rank(random):
     """Return a fresh rank; the baseline in which hops refuse alone."""
     return int(random.random() * RANKS)
--- a/tests/unit/daemon/test_account_calls.py
+++ b/tests/unit/daemon/test_account_calls.py
@@ -1,6 +1,7 @@
 """Accounts on the way of a call: its class, its parents, links, targets."""
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from papayabay_core.calls import Body, Call
@@ -60,6 +61,25 @@
         self.assertEqual(call.importance, Importance.CRITICAL)
         self.assertEqual(call.own_class, Importance.CRITICAL)
 
+    def test_paths_decide_among_accounts_of_one_class(self):
+        """Guards against look-ups that displace orders of equal accounts."""
+        policy = account_policy(small={"importance": "normal"})
+        identity = Identity(policy.accounts.by_name["small"], "digest")
+        flow, rule = flow_of(policy), rule_of(policy)
+        levels = {
+            importance: [
+                flow.entry_call(
+                    request(), replace(rule, importance=importance), f"r{n}", identity
+                ).level
+                for n in range(50)
+            ]
+            for importance in Importance
+        }
+        critical, normal, sheddable = (levels[one] for one in Importance)
+        self.assertLess(max(critical), min(normal))
+        self.assertLess(max(normal), min(sheddable))
+        self.assertEqual({level >> 16 for level in sheddable}, {Importance.NORMAL})
+
     def test_without_one_the_path_decides(self):
         self.assertEqual(self.entered().importance, Importance.NORMAL)
 
