Hold the places of unmet seeds for two seconds, and let slots be shallower

Change: unmet seeds hold their places for two seconds after a start, and count as lost for a minute as before. A slot holds four tokens at least, so that a limit of 8 at once has two keepers.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/slots.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/slots.py
@@ -8,7 +8,7 @@
 MAX_SLOTS = 4
 """Keepers that share one limit: without one of them, three quarters of it are
 still granted."""
-MIN_SLOT_DEPTH = 8
+MIN_SLOT_DEPTH = 4
 """Tokens that a slot holds at least where there are several. Those of a
 shallower one would be lost whenever its own requests pause."""
 CACHED_ACCOUNTS = 4_096
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -24,6 +24,7 @@
 from papayabay_daemon._internal.membership.table import MemberTable
 
 LEAVE_SECONDS = 0.5
+UNMET_RECENT_SECONDS = 2.0
 UNMET_SECONDS = 60.0
 """How long after the start seeds that were never met count as members."""
 LEAVE_PEERS = 8
@@ -118,12 +119,13 @@
     def lost_since(self, at):
         """Return the members that were lost after a time and are not back.
 
-        Seeds that this process never met count as lost at its start.
+        Seeds that a new process has not met yet count as lost just now.
         """
         tombstones = reversed(self.table.tombstones.items())
         recent = itertools.takewhile(lambda item: item[1] > at, tombstones)
         dead = [self.table.members[name] for name, _ in recent]
-        return dead if self.started_at <= at else [*dead, *self.unmet_seeds()]
+        just_started = self.clock() - self.started_at <= UNMET_RECENT_SECONDS
+        return [*dead, *self.unmet_seeds()] if just_started else dead
 
     def lost_count(self):
         """Return how many members are dead and remembered, or never met."""
--- a/tests/unit/daemon/limits_fleet.py
+++ b/tests/unit/daemon/limits_fleet.py
@@ -23,6 +23,7 @@
 )
 from papayabay_daemon._internal.accounts.buckets import TokenBucket
 from papayabay_daemon._internal.interfaces import Member, MemberState
+from papayabay_daemon._internal.membership.membership import UNMET_RECENT_SECONDS
 from tests.lib.virtual_time import run_virtually
 
 DOMAINS = 4
@@ -55,7 +56,8 @@
     def lost_since(self, at):
         members = self.fleet.members
         dead = [members[name] for name, died in self.died.items() if died > at]
-        return dead if self.started_at <= at else [*dead, *self.unmet_seeds()]
+        age = asyncio.get_running_loop().time() - self.started_at
+        return [*dead, *self.unmet_seeds()] if age <= UNMET_RECENT_SECONDS else dead
 
     def lost_count(self):
         return len(self.died) + len(self.unmet_seeds())
