Pause after a renewal that brings no recent confirmation

Cause, by reading: a renewal counted as a success when it moved the confirmation at all, be it by the difference of two round trips, and was then repeated without a pause, while the store was away too.

Change: it succeeds when the next one is not due at once.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/confirming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/confirming.py
@@ -119,18 +119,17 @@
         return in_use or self.readers.include_local()
 
     async def renew(self):
-        """Ask a peer, else the store; return whether that brought one.
+        """Ask a peer, else the store; return whether that was enough.
 
         The fleet's first reader asks the store, the other readers the first
         one, and all others a reader of their own failure domain.
         """
-        before = self.state.confirmed_at
         peer = self.peer_to_ask()
         if peer is not None:
             await self.pusher.ask_confirmation(peer, PEER_SECONDS)
         if peer is None or self.is_store_due():
             await self.store.confirm()
-        return self.state.confirmed_at > before
+        return not self.is_due()
 
     def peer_to_ask(self):
         """Return the member that may have a newer confirmation, or None."""
--- a/tests/unit/daemon/test_confirmations.py
+++ b/tests/unit/daemon/test_confirmations.py
@@ -299,6 +299,17 @@
         fleet = play(idle)
         self.assertLess(fleet.store.calls, 1.5 * 40.0 / (BOUND_S * 0.25))
 
+    def test_a_store_that_is_away_is_not_asked_without_a_pause(self):
+        """Guards against outdated confirmations that count as success."""
+
+        async def away(fleet):
+            await asyncio.sleep(2.0)
+            fleet.store.unreachable = set(range(FLEET))
+            fleet.store.calls = 0
+            await asyncio.sleep(9.0)
+
+        self.assertLess(play(away).store.calls, 9.0 * FLEET)
+
     def test_a_third_without_the_store_goes_on_by_its_peers(self):
         """Guards against daemons that refuse what peers know to be valid."""
 
