--- a/tests/functional/test_accounts.py
+++ b/tests/functional/test_accounts.py
@@ -100,6 +100,7 @@
     async def test_a_limit_holds_over_all_entries(self):
         """Guards against a limit that each entry grants anew."""
         await self.put(policy_of("shop", rate_per_s=2.0, burst=16))
+        await self.until(KEYS["shop"], (200, ""))
         entries = len(self.fleet.daemons)
         calls = [self.call(KEYS["shop"], entry=turn % entries) for turn in range(60)]
         kinds = [kind for _, kind in await asyncio.gather(*calls)]
