Keep one piece each of what the accounts wrote twice

No change of behaviour. Durations are rounded up by one whole_ms of the core's clock module, in place of two and a copy; a bucket itself sees whether its rate is another one; whether a keeper may grant goes by the same check as whether a slot is its own. Tests of accounts build their calls in one place, and the model of limits loses a method that nothing called.

--- a/packages/papayabay-core/src/papayabay_core/utils/clock.py
+++ b/packages/papayabay-core/src/papayabay_core/utils/clock.py
@@ -1,5 +1,6 @@
 """The clocks that lifetimes and pauses are measured by."""
 
+import math
 import time
 
 
@@ -16,3 +17,8 @@
         Seconds since the machine started. Never sent to another machine.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def whole_ms(seconds):
+    """Return a duration in whole milliseconds, rounded up."""
+    return math.ceil(seconds * 1_000)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
@@ -26,7 +26,9 @@
         self.returns_at = at
 
     def change(self, rate, depth, at):
-        """Go on with another rate and depth."""
+        """Go on with another rate and depth, if they are others."""
+        if (rate, depth) == (self.rate, self.depth):
+            return
         self.refill(at)
         self.rate = rate
         self.depth = depth
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/keeping.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/keeping.py
@@ -1,8 +1,6 @@
 """Grants the tokens of the limits that this daemon keeps."""
 
-import math
-
-from papayabay_core.utils.clock import now
+from papayabay_core.utils.clock import now, whole_ms
 from papayabay_daemon._internal.accounts.buckets import TokenBucket
 from papayabay_daemon._internal.accounts.messages import (
     TOPIC,
@@ -16,11 +14,6 @@
 NOT_KEPT = TokenReply(Outcome.NOT_KEPT)
 
 
-def whole_ms(seconds):
-    """Return a wait in whole milliseconds, never shorter than it is."""
-    return math.ceil(seconds * 1_000)
-
-
 class LimitKeeper:
     """Keeps a bucket for each slot of a limit that falls to this daemon.
 
@@ -63,11 +56,10 @@
         """Return the `TokenReply` to a `TokenRequest`."""
         self.ring.note_lost(request.lost)
         account = self.policy_source().accounts.by_name.get(request.account)
-        slot = request.slot
-        if account is None or account.limit is None or not self.keeps(account, slot):
+        if not self.may_grant(account, request.slot):
             self.counters["not_kept"] += 1
             return NOT_KEPT
-        bucket = self.bucket_of(account, slot)
+        bucket = self.bucket_of(account, request.slot)
         moment = self.clock()
         taken = bucket.take(moment, request.wanted)
         if taken:
@@ -80,14 +72,11 @@
         self.counters["exhausted"] += 1
         return TokenReply(Outcome.EXHAUSTED, wait_ms=whole_ms(bucket.retry_s(moment)))
 
-    def keeps(self, account, slot):
-        """Return whether a slot falls to this daemon, and it may grant."""
-        positions = slot_positions(account)
-        if self.is_leaving or slot >= len(positions):
-            return False
+    def may_grant(self, account, slot):
+        """Return whether this daemon keeps a slot, and grants by now."""
         self.drop_lost()
-        is_settled = self.ring.settled_at is not None
-        return is_settled and self.ring.falls_here(positions[slot])
+        is_active = self.ring.settled_at is not None and not self.is_leaving
+        return is_active and self.is_own(account, slot)
 
     def drop_lost(self):
         """Forget buckets of slots that fall to other daemons by now."""
@@ -96,13 +85,12 @@
         self.ring_version = self.ring.version
         accounts = self.policy_source().accounts.by_name
         for name, slot in list(self.buckets):
-            account = accounts.get(name)
-            if account is None or not self.is_own(account, slot):
+            if not self.is_own(accounts.get(name), slot):
                 del self.buckets[name, slot]
 
     def is_own(self, account, slot):
-        """Return whether a slot still exists and falls to this daemon."""
-        if account.limit is None:
+        """Return whether a slot exists and falls to this daemon."""
+        if account is None or account.limit is None:
             return False
         positions = slot_positions(account)
         return slot < len(positions) and self.ring.falls_here(positions[slot])
@@ -116,6 +104,5 @@
             since = max(self.ring.settled_at, self.ring.shrunk_at)
             bucket = TokenBucket(wanted.rate_per_s, wanted.depth, since)
             self.buckets[key] = bucket
-        elif (bucket.rate, bucket.depth) != (wanted.rate_per_s, wanted.depth):
-            bucket.change(wanted.rate_per_s, wanted.depth, self.clock())
+        bucket.change(wanted.rate_per_s, wanted.depth, self.clock())
         return bucket
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/parts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/parts.py
@@ -1,9 +1,7 @@
 """Divides each limit into equal parts, one for each daemon."""
 
-import math
-
 from papayabay_core.errors import CallError, ErrorKind
-from papayabay_core.utils.clock import now
+from papayabay_core.utils.clock import now, whole_ms
 from papayabay_daemon._internal.accounts.buckets import TokenBucket
 
 
@@ -32,7 +30,7 @@
         bucket = self.bucket_of(account)
         moment = self.clock()
         if not bucket.take(moment):
-            retry_ms = math.ceil(bucket.retry_s(moment) * 1_000)
+            retry_ms = whole_ms(bucket.retry_s(moment))
             raise CallError(ErrorKind.RATE_LIMITED, retry_after_ms=retry_ms)
 
     def give_back(self, account):
@@ -48,8 +46,7 @@
         if bucket is None:
             bucket = TokenBucket(rate, depth, self.started_at)
             self.buckets[account.name] = bucket
-        elif (bucket.rate, bucket.depth) != (rate, depth):
-            bucket.change(rate, depth, self.clock())
+        bucket.change(rate, depth, self.clock())
         return bucket
 
     def policy_changed(self, policy):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/messages.py
@@ -1,10 +1,10 @@
 """What daemons say to each other about configuration versions."""
 
-import math
 import struct
 from dataclasses import dataclass
 
 from papayabay_core.exceptions import ProtocolError
+from papayabay_core.utils.clock import whole_ms
 
 OFFER_TOPIC = "config"
 TAIL_TOPIC = "config-tail"
@@ -42,11 +42,6 @@
         return OFFER.pack(age, min(self.version, VERSION_MAX))
 
 
-def whole_ms(seconds):
-    """Return an age in whole milliseconds, never younger than it is."""
-    return math.ceil(seconds * 1_000)
-
-
 def take_offer(content):
     """Return the offer at the start of a message and what follows it.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/state.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/state.py
@@ -5,7 +5,8 @@
 
 import logbook
 
-from papayabay_daemon._internal.configuration.messages import Offer, whole_ms
+from papayabay_core.utils.clock import whole_ms
+from papayabay_daemon._internal.configuration.messages import Offer
 from papayabay_daemon._internal.configuration.version import VersionInForce
 
 FRESH_SECONDS = 10.0
--- a/tests/unit/daemon/account_support.py
+++ b/tests/unit/daemon/account_support.py
@@ -3,6 +3,8 @@
 from types import SimpleNamespace
 
 from papayabay_core.account_keys import digest_key
+from papayabay_core.calls import Body, Call
+from papayabay_core.importance import Importance
 from papayabay_core.policy.document import PolicyDocument
 from papayabay_core.policy.rules import Policy
 from papayabay_daemon._internal.accounts import Authenticator
@@ -67,6 +69,24 @@
     return policy.rule_for("svc", "GET", path)
 
 
+def account_call(account, **changes):
+    """Return a call of an account; an empty name is that of none."""
+    values = {
+        "request_id": "r",
+        "service": "svc",
+        "method": "GET",
+        "path": "/read",
+        "headers": [],
+        "body": Body(),
+        "importance": Importance.NORMAL,
+        "rank": 1,
+        "depth": 0,
+        "expires_at": 1e12,
+        "credits": 0,
+    }
+    return Call(**values | changes, account=account)
+
+
 def live_call(request_id):
     """Return just what the call tree reads of a call."""
     return SimpleNamespace(request_id=request_id, credits=0, expires_at=1e12)
--- a/tests/unit/daemon/limits_fleet.py
+++ b/tests/unit/daemon/limits_fleet.py
@@ -22,7 +22,7 @@
     slots,
 )
 from papayabay_daemon._internal.accounts.buckets import TokenBucket
-from papayabay_daemon._internal.interfaces import Member, MemberState
+from papayabay_daemon._internal.interfaces import Member
 from papayabay_daemon._internal.membership.membership import UNMET_RECENT_SECONDS
 from tests.lib.virtual_time import run_virtually
 
@@ -212,13 +212,6 @@
         loop.call_later(DETECTION_S, self.notice)
         loop.call_later(DETECTION_S / 2, self.introduce)
 
-    def leave(self, names):
-        """Stop processes as planned; they say so."""
-        for name in names:
-            self.members[name].state = MemberState.LEAVING
-            for daemon in self.daemons.values():
-                daemon.view.listed = None
-
     async def send(self, account, rate, seconds, entries=None):
         """Send requests of an account to entries drawn from some."""
         loop = asyncio.get_running_loop()
--- a/tests/unit/daemon/test_account_calls.py
+++ b/tests/unit/daemon/test_account_calls.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
-from papayabay_core.calls import Body, Call
+from papayabay_core.calls import Body
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
 from papayabay_daemon._internal.accounts import Identity
@@ -20,6 +20,7 @@
 from tests.lib.cluster_fakes import make_settings
 from tests.unit.daemon.account_support import (
     KEYS,
+    account_call,
     account_policy,
     authenticator_of,
     incoming_with,
@@ -128,34 +129,18 @@
 
 
 class TravelTests(unittest.TestCase):
-    def call(self, account):
-        return Call(
-            request_id="r",
-            service="svc",
-            method="GET",
-            path="/read",
-            headers=[],
-            body=Body(),
-            importance=Importance.NORMAL,
-            rank=1,
-            depth=0,
-            expires_at=1e12,
-            credits=0,
-            account=account,
-        )
-
     def test_the_account_travels_between_daemons(self):
         for name in ("", "small"):
-            frame = encode_call(1, self.call(name), b"", True, 0, 0)
+            frame = encode_call(1, account_call(name), b"", True, 0, 0)
             call = decode_call(read_call_frame(frame), 0.0)
             self.assertEqual(call.account, name)
 
     def test_the_target_is_told_the_account(self):
-        head = OwnTargetDialect().request_head(self.call("small"), "t", None)
+        head = OwnTargetDialect().request_head(account_call("small"), "t", None)
         self.assertIn(b"\r\nPapayabay-Account: small\r\n", head)
 
     def test_an_anonymous_call_names_none(self):
-        head = OwnTargetDialect().request_head(self.call(""), "t", None)
+        head = OwnTargetDialect().request_head(account_call(""), "t", None)
         self.assertNotIn(b"account", head.lower())
 
 
--- a/tests/unit/platform/test_accounts.py
+++ b/tests/unit/platform/test_accounts.py
@@ -4,7 +4,6 @@
 import unittest
 
 from papayabay_core.account_keys import digest_key
-from papayabay_core.calls import Body, Call
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
 from papayabay_core.models import InvalidValues
@@ -13,6 +12,7 @@
 from papayabay_platform.caller_dialect import PlatformCallerDialect
 from papayabay_platform.configuration import OperatorConfiguration
 from papayabay_platform.target_dialect import PlatformTargetDialect
+from tests.unit.daemon.account_support import account_call
 
 TENANT = {
     "name": "pulo780",
@@ -93,20 +93,7 @@
         self.assertEqual(incoming.authorization, "Bearer maj3nr26")
 
     def test_the_upstream_is_told_the_tenant(self):
-        call = Call(
-            request_id="9c41",
-            service="svc-1",
-            method="GET",
-            path="/read/7",
-            headers=[],
-            body=Body(),
-            importance=Importance.NORMAL,
-            rank=1,
-            depth=0,
-            expires_at=1e12,
-            credits=0,
-            account="pulo780",
-        )
+        call = account_call("pulo780", request_id="9c41", service="svc-1")
         announcement = Announcement("svc-1", "127.0.0.1", 1, 4, 8, "i-1")
         head = PlatformTargetDialect().request_head(call, "t", announcement)
         self.assertIn(b"\r\nX-Papayabay-Tenant: pulo780\r\n", head)
