--- a/packages/papayabay-cli/src/papayabay_cli/account_sums.py
+++ b/packages/papayabay-cli/src/papayabay_cli/account_sums.py
@@ -1,4 +1,4 @@
-"""Adds up what daemons report of client accounts."""
+"""Sums the daemons' reports on client accounts."""
 
 from collections import Counter
 from dataclasses import dataclass, field
@@ -6,13 +6,13 @@
 
 @dataclass(slots=True)
 class AccountSums:
-    """Requests over all daemons that were heard.
+    """Requests, summed over the daemons that answered.
 
     Attributes
     ----------
     accounts : dict of str to Counter
     keys : Counter
-        By how their keys were taken.
+        By the outcome of authentication.
     """
 
     accounts: dict[str, Counter] = field(default_factory=dict)
--- a/packages/papayabay-cli/src/papayabay_cli/commands/quarantine_lift.py
+++ b/packages/papayabay-cli/src/papayabay_cli/commands/quarantine_lift.py
@@ -1,11 +1,11 @@
-"""`quarantine lift`: hold a request back no longer."""
+"""`quarantine lift`: release a request from quarantine."""
 
 
 class QuarantineLiftCommand:
-    """Lets a request through again, at all daemons."""
+    """Releases a quarantined request at all daemons."""
 
     def run(self, fingerprint, settings=None):
-        """Hold a request back no longer, such as after a target's repair.
+        """Release a request from quarantine, such as after a target's repair.
 
         Goes to the first status URL of the settings that takes it, from there
         to all daemons. Exit codes: 0 lifted; 2 wrong usage or settings, or
--- a/packages/papayabay-cli/src/papayabay_cli/daemons.py
+++ b/packages/papayabay-cli/src/papayabay_cli/daemons.py
@@ -85,7 +85,7 @@
 
 
 def lift_request(settings, fingerprint):
-    """Have a request held back no longer; return whether it was.
+    """Release a request from quarantine; return whether it was there.
 
     Parameters
     ----------
--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -73,8 +73,8 @@
         Name of the client account that the whole request belongs to; empty
         without one.
     key_digest : str
-        Digest of the key that the request was let in by; empty without one.
-        Kept by the daemon that it entered; it does not travel.
+        Digest of the key that authenticated the request; empty without one.
+        Kept by the entry daemon; it does not travel.
     """
 
     request_id: str
--- a/packages/papayabay-core/src/papayabay_core/platform/era.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/era.py
@@ -8,17 +8,16 @@
 
 
 class StoreEra:
-    """The era that a store is in, as far as its answers tell.
+    """The era of a store, as observed in its answers.
 
-    A store that comes back from an older copy has lost what was written since,
-    and gives out the same versions again for other content. It then tells an
-    era one higher. What was read before is no ground to write by any more, and
-    what was written may not be there.
+    A store that was restored from an older copy has lost later writes, and
+    reuses their versions. It then reports an era one higher: conditions on
+    earlier reads no longer hold, and earlier writes may be lost.
 
     Attributes
     ----------
     current : int or None
-        None before any was told; a store without eras tells none.
+        None until one is observed; some stores report none.
     listeners : list of callable
         Called, without arguments, before the first answer of a new era is
         used.
@@ -31,13 +30,12 @@
         self.changes = 0
 
     def note(self, era):
-        """Note the era that an answer tells.
+        """Observe the era of an answer.
 
         Raises
         ------
         PlatformError
-            For an answer of an earlier one, which was long on its way. What it
-            says is no longer true.
+            For a delayed answer of an earlier era, which is outdated.
         """
         if era is None or era == self.current:
             return
--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -30,9 +30,9 @@
     ----------
     settings : PlatformSettings
     era : StoreEra or None
-        Of a store that tells its era.
+        Of the store; None for one without eras.
     era_of : callable or None
-        Takes a `Reply`; returns the era that it tells, or None.
+        Takes a `Reply`; returns its era, or None.
     """
 
     def __init__(self, settings, era=None, era_of=None):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/asking.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/asking.py
@@ -44,13 +44,13 @@
     expires_at : float
         When those are lost.
     asked_at : float
-        When a token was last wanted.
+        When a token was last requested.
     rate : float
-        Tokens wanted here, a second, recently.
+        Recent demand here, tokens per second.
     exhausted_until : dict of int to float
         By slot, when its keeper is asked again.
     retry_ms : int
-        When the last keeper asked had a token for who was refused.
+        Retry-After of the last keeper without tokens.
     """
 
     tokens: int = 0
@@ -149,7 +149,7 @@
         return False
 
     def settle(self, lease, slot, reply):
-        """Take in a keeper's reply; return whether it granted a token."""
+        """Process a keeper's reply; return whether it granted a token."""
         if reply is None or reply.outcome is Outcome.NOT_KEPT:
             return False
         moment = self.clock()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/authentication.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/authentication.py
@@ -12,7 +12,7 @@
 BEARER = re.compile(r"bearer +([\x21-\x7e]{1,512}) *", re.IGNORECASE)
 COUNTED = ("accepted", "missing", "malformed", "unknown", "revoked", "stale")
 STALE_RETRY_MS = 500
-"""When a request may come back that met outdated accounts."""
+"""Retry-After of a request refused for outdated accounts."""
 
 
 class Freshness(Protocol):
@@ -36,7 +36,7 @@
     ----------
     account : Account
     key_digest : str
-        Digest of the key that it was let in by; empty where none is needed.
+        Digest of the key that authenticated it; empty where none is needed.
     """
 
     account: Account
@@ -110,7 +110,7 @@
         return Identity(account, "" if rule.public else digest)
 
     def check(self, call):
-        """Let a call on if its key is still valid.
+        """Admit a call whose key is still valid.
 
         Asked before each attempt: between two of them the key may have been
         revoked, or this process been stopped.
