Show how long a daemon lags behind a known version

Cause: logs and metrics can't tell whether a daemon that refuses a new route had heard of the version, whether it tried to fetch it, how that ended and when it tries again. Change: VersionLag logs one warning when a known version is not here after a second, with the last failure and the next attempt, and one line at its end. Levels lag_s, store_outage_s, confirmation_age_s and reader; counter pulls_unusable; outages log their length. No decision changes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/manager.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/manager.py
@@ -1,6 +1,7 @@
 """Keeps the configuration of this daemon up to date and propagates it."""
 
 import asyncio
+import math
 
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.configuration.answering import Answering
@@ -89,6 +90,19 @@
         """Whether the last read of the store succeeded."""
         return not self.store.outage.active
 
+    def gauges(self):
+        """Return how far this daemon may be behind, in seconds.
+
+        `confirmation_age_s` is left out before the first confirmation.
+        """
+        gauges = {
+            "lag_s": self.state.lag.seconds(),
+            "store_outage_s": self.store.outage.seconds(),
+            "reader": int(self.readers.is_reader()),
+        }
+        age = self.state.staleness()
+        return gauges | ({"confirmation_age_s": age} if math.isfinite(age) else {})
+
     def on_change(self, callback):
         """Register a callback for each policy that comes in force."""
         self.version.listeners.append(callback)
@@ -122,6 +136,7 @@
             "confirmed": self.confirmed,
             "applied_at": self.applied_at,
             "not_in_force": self.version.rejection,
+            **self.gauges(),
             "reader": self.readers.is_reader(),
             "store_reachable": self.store_reachable,
             **self.counts,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
@@ -40,6 +40,8 @@
     ----------
     offers : dict of str to int
         Versions above the own one, by the name of the member.
+    failure : str
+        Why the last request failed.
     """
 
     def __init__(self, state, links, random):
@@ -48,6 +50,7 @@
         self.random = random
         self.offers = {}
         self.offered = asyncio.Event()
+        self.failure = ""
 
     async def load_from_peers(self):
         """Fetch the full versions of several peers; the highest one stays.
@@ -64,6 +67,7 @@
         if version <= self.state.version.latest.version:
             self.state.counts["stale_offers"] += 1
             return
+        self.state.lag.record_offer(version)
         if name in self.offers or len(self.offers) < OFFERS_MAX:
             self.offers[name] = version
             self.offered.set()
@@ -84,7 +88,9 @@
             elif await self.pull(peer):
                 backoff = RETRY_SECONDS
             else:
-                await asyncio.sleep(backoff * self.random.random())
+                delay = backoff * self.random.random()
+                self.state.lag.record_failure(peer.name, self.failure, delay)
+                await asyncio.sleep(delay)
                 backoff = min(RETRY_MAX_SECONDS, backoff * 2)
 
     def next_offer(self):
@@ -122,14 +128,18 @@
             answer = await self.links.request(peer, topic, payload, PEER_SECONDS)
             offer = await self.apply_answer(peer, answer, asked_at)
         except UpgradeNeeded as error:
+            self.failure = str(error)
+            self.state.counts["pulls_unusable"] += 1
             self.state.version.reject(error)
         except (ProtocolError, PlatformError, OSError, TimeoutError) as error:
+            self.failure = str(error) or type(error).__name__
             self.state.counts["pull_errors"] += 1
             if isinstance(error.__context__, UpgradeNeeded):
                 self.state.version.reject(error)
         else:
             if offer.version > self.state.version.latest.version:
                 self.note_offer(offer.version, peer.name)
+            self.failure = f"the answer held no version above {previous}"
             return self.state.version.latest.version >= min(offer.version, previous + 1)
         return False
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/state.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/state.py
@@ -6,6 +6,7 @@
 import logbook
 
 from papayabay_core.utils.clock import whole_ms
+from papayabay_daemon._internal.configuration.lag import VersionLag
 from papayabay_daemon._internal.configuration.messages import Offer
 from papayabay_daemon._internal.configuration.version import VersionInForce
 
@@ -23,6 +24,7 @@
     "push_errors",
     "pulls",
     "pull_errors",
+    "pulls_unusable",
     "stale_offers",
 )
 log = logbook.Logger("papayabay.configuration")
@@ -41,6 +43,7 @@
     Attributes
     ----------
     version : VersionInForce
+    lag : VersionLag
     confirmed : bool
         Whether the store has confirmed a version since the start.
     confirmed_at : float
@@ -62,6 +65,7 @@
         self.members = members
         self.clock = clock
         self.version = VersionInForce()
+        self.lag = VersionLag(self.version, clock)
         self.confirmed = False
         self.confirmed_at = float("-inf")
         self.distrusted_until = float("-inf")
@@ -90,6 +94,7 @@
 
     def propagate(self):
         """Announce a newer version by gossip and pushes."""
+        self.lag.record_version()
         self.members.set_configuration(self.version.latest.version)
         self.push_due.set()
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
@@ -33,7 +33,7 @@
         self.log = log
         self.readers = readers
         self.random = random
-        self.outage = Outage(module_log, "configuration store")
+        self.outage = Outage(module_log, "configuration store", state.clock)
 
     async def load(self):
         """Load the newest version from the store, if it answers."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -72,7 +72,7 @@
         self.watch = watch
         self.readers = readers
         self.random = random
-        self.outage = Outage(log, "configuration store")
+        self.outage = Outage(log, "configuration store", state.clock)
         self.loaded = False
         self.stored_version = 0
         self.pause = FIRST_PAUSE_SECONDS
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -275,6 +275,7 @@
     def gauges(self):
         """Return the gauges of the metrics by dotted name."""
         gauges = {
+            "configuration": self.configuration.gauges(),
             "repeats": self.arrival_budget.gauges(),
             "quarantine": self.quarantine.gauges(),
         }
