Add failing tests of configurations that come late

Cause: four of them, told apart by simulated fleets in virtual time with the real membership, configuration manager and dial backoff.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/dialling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/dialling.py
@@ -96,9 +96,7 @@
         link = None
         try:
             async with asyncio.timeout(DIAL_SECONDS):
-                _, link = await asyncio.get_running_loop().create_connection(
-                    lambda: Link(self.links, member.name), member.host, member.link_port
-                )
+                link = await self.open_connection(member)
                 opened = await link.opened
         except (OSError, TimeoutError, ValueError, OverflowError):
             # The last two are raised for an invalid address, which is not
@@ -116,6 +114,13 @@
         peer.retry_at = now() + self.backoff(peer.failures)
         peer.failures += 1
 
+    async def open_connection(self, member):
+        """Return a link on a new connection, before its handshake."""
+        _, link = await asyncio.get_running_loop().create_connection(
+            lambda: Link(self.links, member.name), member.host, member.link_port
+        )
+        return link
+
     def reconnect(self, member):
         """Redial a peer in the background after its link has timed out.
 
--- /dev/null
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -0,0 +1,512 @@
+"""Simulates the propagation of configuration versions in virtual time.
+
+Membership, the configuration manager and the backoff of dials are real; the
+network, links and the store are simulated. Run as a program with a number of
+seeds, it plays random faults and prints the seeds with a daemon that is late.
+"""
+
+import asyncio
+import itertools
+import sys
+from contextlib import suppress
+from types import SimpleNamespace
+from unittest import mock
+
+from papayabay_core.configuration import Configuration
+from papayabay_core.exceptions import PlatformError, ProtocolError
+from papayabay_daemon._internal.configuration import ConfigurationManager
+from papayabay_daemon._internal.configuration.watching import VersionWatcher
+from papayabay_daemon._internal.links import dialling
+from papayabay_daemon._internal.links.peers import PeerLinks
+from papayabay_daemon._internal.membership import Membership
+from tests.lib.cluster_fakes import MemoryTable, make_settings, seeded_rng
+from tests.lib.virtual_time import run_in_virtual_time
+
+DELAY_S = 0.0015
+STORE_DELAY_S = 0.004
+STORE_TIMEOUT_S = 1.0
+FEED_S = 10.0
+DEAD_CONNECTION_S = 3.0
+"""Time after which a keepalive closes a connection that was cut."""
+SILENCE_S = 2.0
+RETRANSMISSION_S = 0.2
+CONTACT_S = 3.0
+"""Time without disruption after which the bound holds for a daemon."""
+BOUND_S = 2.0
+STORE_SKEW_S = 5.0
+"""Addition to the bound within `CONTACT_S` of a disruption of the store."""
+SAMPLE_S = 0.1
+SILENT, BUSY = "silent", "busy"
+"""How the store turns a daemon away: without an answer, or with an error."""
+
+
+class SimulatedTransport:
+    """Sends datagrams of one daemon over the simulated network."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        pass
+
+    def sendto(self, datagram, address):
+        fleet = self.fleet
+        target = fleet.by_host.get(address[0])
+        if target is None or fleet.rng.random() < fleet.loss:
+            return
+        if fleet.is_open(self.name, target):
+            host = fleet.hosts[self.name]
+            fleet.loop.call_later(DELAY_S, fleet.deliver, target, datagram, host)
+
+
+class SimulatedLink:
+    """A link from one daemon to another; also its own `outgoing`."""
+
+    is_open = True
+    unresponsive = False
+
+    def __init__(self, fleet, name, peer_name):
+        self.fleet = fleet
+        self.name = name
+        self.peer_name = peer_name
+        self.outgoing = self
+        self.process = fleet.daemons[peer_name]
+        self.lost = asyncio.Event()
+        self.opened = fleet.loop.create_future()
+
+    def abort(self, reason):
+        self.lost.set()
+
+    async def request(self, topic, payload, timeout):
+        exchange = asyncio.ensure_future(self.exchange(topic, payload))
+        lost = asyncio.ensure_future(self.lost.wait())
+        try:
+            await asyncio.wait(
+                {exchange, lost},
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if exchange.done():
+                return exchange.result()
+            if lost.done():
+                raise ProtocolError("link lost")
+            raise TimeoutError
+        finally:
+            exchange.cancel()
+            lost.cancel()
+
+    async def exchange(self, topic, payload):
+        await self.transfer(self.name, self.peer_name)
+        if self.fleet.daemons.get(self.peer_name) is not self.process:
+            self.close()
+            raise ProtocolError("link lost")
+        handler = self.process.links.handlers.topics[topic]
+        answer = await handler(payload, self.name)
+        await self.transfer(self.peer_name, self.name)
+        return answer
+
+    async def transfer(self, source, target):
+        """Wait until a message has arrived; a cut closes the link."""
+        fleet = self.fleet
+        lost = fleet.rng.random() < fleet.loss
+        await asyncio.sleep(DELAY_S + lost * RETRANSMISSION_S)
+        if not fleet.is_open(source, target):
+            fleet.loop.call_later(SILENCE_S, self.close)
+            await self.lost.wait()
+            raise ProtocolError("link lost")
+
+    def close(self):
+        self.lost.set()
+        daemon = self.fleet.daemons.get(self.name)
+        if daemon is not None:
+            links = daemon.links.entry_of(self.peer_name).links
+            with suppress(ValueError):
+                links.remove(self)
+
+
+class SimulatedDialler(dialling.Dialler):
+    """Dials over the simulated network; the backoff is real."""
+
+    async def open_connection(self, member):
+        fleet, name = self.links.fleet, self.links.local.name
+        await asyncio.sleep(2 * DELAY_S)
+        paths = (name, member.name), (member.name, name)
+        if not all(fleet.is_open(*path) for path in paths):
+            await asyncio.sleep(dialling.DIAL_SECONDS)
+        if member.name not in fleet.daemons:
+            raise ConnectionRefusedError
+        link = SimulatedLink(fleet, name, member.name)
+        self.links.entry_of(member.name).links.append(link)
+        link.opened.set_result(True)
+        return link
+
+
+class SimulatedTable(MemoryTable):
+    """The shared table as one daemon reaches it."""
+
+    def __init__(self, fleet, name):
+        super().__init__()
+        self.rows = fleet.rows
+        self.fleet = fleet
+        self.name = name
+
+    def check(self):
+        if not self.fleet.is_served(self.name):
+            raise PlatformError("table service: no answer")
+
+
+class SimulatedWatch:
+    """The operator's versions as one daemon reads them; a `VersionWatch`."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.position = 0
+
+    async def load(self):
+        await self.ask()
+        self.position = self.fleet.version
+        return self.configuration()
+
+    async def poll(self):
+        await self.ask()
+        return self.newer()
+
+    async def changed(self, share=1.0):
+        fleet = self.fleet
+        wait = FEED_S * share
+        deadline = fleet.clock() + wait
+        await self.ask(wait)
+        while self.position == fleet.version and fleet.clock() < deadline:
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(deadline):
+                    await fleet.changed.wait()
+        if self.name in fleet.cut_off:
+            await asyncio.sleep(DEAD_CONNECTION_S)
+            raise PlatformError("connection timed out")
+        if fleet.turned_away.get(self.name) == SILENT:
+            await asyncio.sleep(max(0, deadline - fleet.clock()) + STORE_TIMEOUT_S)
+            raise PlatformError("no answer")
+        await asyncio.sleep(STORE_DELAY_S / 2)
+        return self.newer()
+
+    async def ask(self, wait=0.0):
+        """Send a request, which is answered or turned away."""
+        fleet = self.fleet
+        fleet.store_calls += 1
+        await asyncio.sleep(STORE_DELAY_S)
+        mode = fleet.turned_away.get(self.name)
+        if mode == BUSY:
+            raise PlatformError("HTTP status 503")
+        if self.name in fleet.cut_off or mode == SILENT:
+            await asyncio.sleep(wait + STORE_TIMEOUT_S)
+            raise PlatformError("no answer")
+
+    def newer(self):
+        if self.position == self.fleet.version:
+            return None
+        self.position = self.fleet.version
+        return self.configuration()
+
+    def configuration(self):
+        return Configuration(self.fleet.version, {"services": {}}, confirmed=True)
+
+
+class SimulatedDaemon:
+    """One process: its membership and its configuration."""
+
+    def __init__(self, fleet, name, domain):
+        settings = make_settings(
+            name, domain, gossip_period_ms=1_000, suspicion_ms=4_000
+        )
+        vm = settings.vm.model_copy(update={"host": fleet.hosts[name]})
+        settings = settings.model_copy(update={"vm": vm})
+        number = next(fleet.numbers)
+        rng = seeded_rng(f"{fleet.seed} {name} {number}")
+        clock = fleet.clock
+        self.started_at = clock()
+        self.links = PeerLinks(settings, SimpleNamespace(name=name), rng)
+        self.links.fleet = fleet
+        self.links.dialler = SimulatedDialler(self.links, rng)
+        table = SimulatedTable(fleet, name)
+        self.members = Membership(settings, table, self.links, rng, clock)
+        self.members.local.incarnation = number << 20
+        self.members.gossip.transport = SimulatedTransport(fleet, name)
+        self.members.table.change_local(link_port=1, gossip_port=2)
+        self.links.local = self.members.local
+        self.configuration = ConfigurationManager(
+            settings,
+            SimulatedWatch(fleet, name),
+            self.members,
+            self.links,
+            rng,
+            clock,
+            VersionWatcher,
+        )
+        fleet.connect_parts(self)
+        self.versions = []
+        self.configuration.on_change(
+            lambda policy: self.versions.append(policy.version)
+        )
+        self.task = asyncio.ensure_future(self.run())
+
+    def record(self, policy):
+        self.versions.append(policy.version)
+
+    @property
+    def version(self):
+        return self.configuration.current.version
+
+    async def run(self):
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.members.run())
+            group.create_task(self.configuration.run())
+
+    async def stop(self):
+        self.task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self.task
+
+
+class ConfigurationFleet:
+    """Daemons, their network, and a store with the operator's versions.
+
+    Attributes
+    ----------
+    cuts : dict of object to callable
+        Each returns whether packets from one daemon to another are dropped.
+    cut_off : set of str
+        Daemons that can't reach the store.
+    turned_away : dict of str to str
+        Daemons that the store turns away, and how.
+    late : list of (str, float, int, int)
+        Daemon, time, version in force and version required, for each daemon
+        that was behind longer than the bound.
+    """
+
+    def __init__(self, size, domains=4, seed=1):
+        self.loop = asyncio.get_running_loop()
+        self.clock = self.loop.time
+        self.seed = seed
+        self.rng = seeded_rng(f"fleet {seed}")
+        self.numbers = itertools.count(1)
+        self.names = [f"vm-{number}" for number in range(size)]
+        self.domains = {
+            name: f"d{number % domains}" for number, name in enumerate(self.names)
+        }
+        self.hosts = {
+            name: f"10.0.{number // 250}.{number % 250 + 1}"
+            for number, name in enumerate(self.names)
+        }
+        self.by_host = {host: name for name, host in self.hosts.items()}
+        self.rows = {}
+        self.version, self.acked = 1, [(0.0, 1)]
+        self.changed = asyncio.Event()
+        self.store_calls = 0
+        self.loss = 0.0
+        self.cuts, self.cut_off, self.turned_away = {}, set(), {}
+        self.disturbed_at, self.store_disturbed_at = {}, 0.0
+        self.late = []
+        self.daemons = {}
+        self.patch = mock.patch.object(dialling, "now", self.clock)
+
+    async def __aenter__(self):
+        self.patch.start()
+        for name in self.names:
+            self.start(name)
+        await asyncio.sleep(6.0)
+        self.sampling = asyncio.ensure_future(self.sample())
+        return self
+
+    async def __aexit__(self, *error):
+        self.sampling.cancel()
+        for daemon in list(self.daemons.values()):
+            await daemon.stop()
+        self.patch.stop()
+
+    def connect_parts(self, daemon):
+        """Connect the parts of a daemon as `Daemon` does."""
+
+    def start(self, name):
+        self.disturbed_at[name] = self.clock()
+        self.daemons[name] = SimulatedDaemon(self, name, self.domains[name])
+
+    async def kill(self, name):
+        self.disturbed_at[name] = self.clock()
+        if name in self.daemons:
+            await self.daemons.pop(name).stop()
+
+    async def restart(self, name, down_s=1.0):
+        await self.kill(name)
+        await asyncio.sleep(down_s)
+        if name not in self.daemons:
+            self.start(name)
+
+    def is_open(self, source, target):
+        if source not in self.daemons or target not in self.daemons:
+            return False
+        return not any(cut(source, target) for cut in self.cuts.values())
+
+    def is_served(self, name):
+        return name not in self.cut_off and name not in self.turned_away
+
+    def deliver(self, target, datagram, host):
+        daemon = self.daemons.get(target)
+        if daemon is not None:
+            daemon.members.gossip.datagram_received(datagram, (host, 2))
+
+    def change(self):
+        """Write a new version, acknowledged at once."""
+        self.version += 1
+        self.acked.append((self.clock(), self.version))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def cut(self, names, seconds, one_way=False, store=True):
+        """Cut daemons from all others and the store."""
+        names, key = frozenset(names), object()
+
+        def is_cut(source, target):
+            return source in names or (target in names and not one_way)
+
+        self.cuts[key] = is_cut
+        reached = names - self.cut_off if store else frozenset()
+        self.cut_off |= reached
+        self.disturb(names)
+        await asyncio.sleep(seconds)
+        del self.cuts[key]
+        self.cut_off -= reached
+        self.disturb(names)
+
+    async def turn_away(self, names, seconds, mode):
+        """Let the store turn daemons away."""
+        names = [name for name in names if name not in self.turned_away]
+        self.store_disturbed_at = self.clock()
+        self.turned_away |= dict.fromkeys(names, mode)
+        await asyncio.sleep(seconds)
+        for name in names:
+            del self.turned_away[name]
+        self.store_disturbed_at = self.clock()
+
+    async def lose(self, share, seconds):
+        """Lose a share of all packets."""
+        self.loss = share
+        await asyncio.sleep(seconds)
+        self.loss = 0.0
+        self.disturb(self.names)
+
+    def draw(self, share):
+        """Return the names of a random share of the daemons, one at least."""
+        return self.rng.sample(self.names, max(1, round(share * len(self.names))))
+
+    def disturb(self, names):
+        self.disturbed_at |= dict.fromkeys(names, self.clock())
+
+    def readers(self):
+        """Return the names of the daemons that read for their domains."""
+        return {
+            member.name
+            for daemon in self.daemons.values()
+            for member in daemon.configuration.readers.current()
+        }
+
+    async def sample(self):
+        """Check at short intervals that no daemon is behind for too long."""
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            self.check()
+
+    def check(self):
+        """Record each daemon that is behind longer than the bound.
+
+        The bound holds for daemons without disruption, as long as one of them
+        is served by the store.
+        """
+        now = self.clock()
+        busy = bool(self.turned_away) or now - self.store_disturbed_at < CONTACT_S
+        bound = BOUND_S + STORE_SKEW_S * busy
+        required = max(version for at, version in self.acked if at <= now - bound)
+        calm = [
+            name
+            for name in self.daemons
+            if not self.loss
+            and name not in self.cut_off
+            and not any(cut(name, name) for cut in self.cuts.values())
+            and now - self.disturbed_at[name] >= CONTACT_S
+        ]
+        if not any(self.is_served(name) for name in calm):
+            return
+        self.late += [
+            (name, round(now, 2), self.daemons[name].version, required)
+            for name in calm
+            if self.daemons[name].version < required
+        ]
+
+
+def play(scenario, size=16, domains=4, seed=1):
+    """Run a scenario on a settled fleet; return the fleet."""
+
+    async def main():
+        async with ConfigurationFleet(size, domains, seed) as fleet:
+            await scenario(fleet)
+        return fleet
+
+    return run_in_virtual_time(main)
+
+
+async def change_often(fleet, seconds, interval=1.5):
+    """Change the configuration at regular intervals, then let it settle."""
+    for _ in range(int(seconds / interval)):
+        await asyncio.sleep(interval)
+        fleet.change()
+    await asyncio.sleep(6.0)
+
+
+async def random_faults(fleet, seconds=40.0):
+    """Inject overlapping random faults while the configuration changes."""
+    async with asyncio.TaskGroup() as group:
+        group.create_task(change_often(fleet, seconds, fleet.rng.uniform(1.0, 3.0)))
+        end = fleet.clock() + seconds - 10.0
+        while fleet.clock() < end:
+            await asyncio.sleep(fleet.rng.uniform(0.5, 5.0))
+            group.create_task(random_fault(fleet))
+
+
+async def random_fault(fleet):
+    """Inject one fault drawn at random."""
+    rng = fleet.rng
+    seconds = rng.uniform(2.0, 12.0)
+    names = fleet.draw(rng.uniform(0.1, 0.5))
+    match rng.randrange(6):
+        case 0:
+            await fleet.cut(names, seconds, rng.random() < 0.5, rng.random() < 0.5)
+        case 1:
+            away = fleet.draw(rng.uniform(0.35, 0.85))
+            await fleet.turn_away(away, seconds, rng.choice((SILENT, BUSY)))
+        case 2:
+            await fleet.turn_away(fleet.readers(), seconds, BUSY)
+        case 3:
+            await fleet.lose(rng.uniform(0.02, 0.05), seconds)
+        case _:
+            await asyncio.gather(*map(fleet.restart, names))
+
+
+def main(seeds):
+    """Play random faults; return whether no daemon was late."""
+    failed = []
+    for seed in range(seeds):
+        size, domains = ((2, 1), (6, 3), (16, 4), (30, 4))[seed % 4]
+        fleet = play(random_faults, size, domains, seed)
+        if fleet.late:
+            failed.append(seed)
+            print(seed, size, len(fleet.late), fleet.late[0], flush=True)
+    print(f"{seeds - len(failed)} of {seeds} seeds without a late daemon")
+    return not failed
+
+
+if __name__ == "__main__":
+    sys.exit(not main(int(sys.argv[1])))
