Give each peer a backoff of its own for configuration pulls

What callers saw: requests refused as an older version says, seconds after a partition had ended. Cause: all failed pulls shared one backoff of up to 30 s, meant for a version that this release can't decode. In a one-way partition offers arrive all the time and every pull fails, so the backoff grew and went on afterwards; a peer that could be reached was not asked before it ended. Change: Offers keeps a backoff per peer, of 1 s at most for one that can't be reached (the daemon counts as in touch after 3 s), and one per version that can't be decoded, as before up to 30 s. A second peer is asked after 0.25 s, three at most.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/confirming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/confirming.py
@@ -41,8 +41,7 @@
     store : StoreReader or VersionWatcher
     pusher : Pusher
     readers : Readers
-    offers : dict of str to int
-        Versions above the own one, by the name of the peer that has them.
+    offers : Offers
     random : random.Random
     """
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
@@ -17,18 +17,21 @@
     decode_offer,
     encode_version,
 )
+from papayabay_daemon._internal.configuration.offers import Offers
+from papayabay_daemon._internal.membership.detector import wait_event
 from papayabay_daemon._internal.membership.sampling import random_peers
 
-OFFERS_MAX = 64
 FIRST_PEERS = 5
 """Peers from which a daemon loads when the store is down at its start."""
-RETRY_SECONDS = 0.25
-RETRY_MAX_SECONDS = 30.0
-"""Backoff after failed pulls."""
+MAX_PULLS = 3
+"""Peers that are asked for a newer version at the same time."""
+HEDGE_SECONDS = 0.25
+"""Time after which another peer is asked beside one that has not answered.
+A link that went silent fails only after a second or two."""
 
 
 class Puller:
-    """Collects the offers of members, and pulls the highest version.
+    """Pulls newer versions from the members that offer them.
 
     Parameters
     ----------
@@ -38,19 +41,17 @@
 
     Attributes
     ----------
-    offers : dict of str to int
-        Versions above the own one, by the name of the member.
-    failure : str
-        Why the last request failed.
+    offers : Offers
+    asked : set of str
+        Names of the members that are being asked.
     """
 
     def __init__(self, state, links, random):
         self.state = state
         self.links = links
         self.random = random
-        self.offers = {}
-        self.offered = asyncio.Event()
-        self.failure = ""
+        self.offers = Offers(state, random)
+        self.asked = set()
 
     async def load_from_peers(self):
         """Fetch the full versions of several peers; the highest one stays.
@@ -68,43 +69,36 @@
             self.state.counts["stale_offers"] += 1
             return
         self.state.lag.record_offer(version)
-        if name in self.offers or len(self.offers) < OFFERS_MAX:
-            self.offers[name] = version
-            self.offered.set()
+        self.offers.record(version, name)
 
     async def run(self):
-        """Pull from the member that offers the highest version.
-
-        Every gossip packet offers a version. A version that can't be decoded
-        here would be fetched several times a second forever, so each further
-        failure doubles the backoff.
-        """
-        backoff = RETRY_SECONDS
+        """Pull from the members that offer newer versions, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                peer = await self.wait_for_peer()
+                task = group.create_task(self.ask(peer))
+                await asyncio.wait([task], timeout=HEDGE_SECONDS)
+
+    async def wait_for_peer(self):
+        """Return the next member to ask, once one may be asked."""
         while True:
-            await self.offered.wait()
-            peer = self.next_offer()
-            if peer is None:
-                self.offered.clear()
-            elif await self.pull(peer):
-                backoff = RETRY_SECONDS
-            else:
-                delay = backoff * self.random.random()
-                self.state.lag.record_failure(peer.name, self.failure, delay)
-                await asyncio.sleep(delay)
-                backoff = min(RETRY_MAX_SECONDS, backoff * 2)
-
-    def next_offer(self):
-        """Remove the highest offer and return its member, or None.
-
-        Offers of members that are gone and of older versions are dropped.
-        """
-        while self.offers:
-            name = max(self.offers, key=self.offers.get)
-            version = self.offers.pop(name)
-            peer = self.state.members.get(name)
-            if peer is not None and version > self.state.version.latest.version:
-                return peer
-        return None
+            self.offers.changed.clear()
+            delay = None
+            if len(self.asked) < MAX_PULLS:
+                peer = self.offers.next_peer(self.asked)
+                if peer is not None:
+                    return peer
+                delay = self.offers.seconds_until_due(self.asked)
+            await wait_event(self.offers.changed, delay)
+
+    async def ask(self, peer):
+        """Pull from one member, and let the next one be asked afterwards."""
+        self.asked.add(peer.name)
+        try:
+            await self.pull(peer)
+        finally:
+            self.asked.discard(peer.name)
+            self.offers.changed.set()
 
     async def pull(self, peer):
         """Pull the patches after the latest version from a peer."""
@@ -128,19 +122,34 @@
             answer = await self.links.request(peer, topic, payload, PEER_SECONDS)
             offer = await self.apply_answer(peer, answer, asked_at)
         except UpgradeNeeded as error:
-            self.failure = str(error)
-            self.state.counts["pulls_unusable"] += 1
-            self.state.version.reject(error)
+            return self.record_undecodable(peer, error)
         except (ProtocolError, PlatformError, OSError, TimeoutError) as error:
-            self.failure = str(error) or type(error).__name__
-            self.state.counts["pull_errors"] += 1
             if isinstance(error.__context__, UpgradeNeeded):
-                self.state.version.reject(error)
-        else:
-            if offer.version > self.state.version.latest.version:
-                self.note_offer(offer.version, peer.name)
-            self.failure = f"the answer held no version above {previous}"
-            return self.state.version.latest.version >= min(offer.version, previous + 1)
+                return self.record_undecodable(peer, error)
+            return self.record_unreachable(peer, error)
+        if offer.version > self.state.version.latest.version:
+            self.note_offer(offer.version, peer.name)
+        if self.state.version.latest.version >= min(offer.version, previous + 1):
+            return True
+        delay = self.offers.record_missing(peer.name)
+        reason = f"the answer held no version above {previous}"
+        self.state.lag.record_failure(peer.name, reason, delay)
+        return False
+
+    def record_undecodable(self, peer, error):
+        """Record a version that this release can't decode; return False."""
+        self.state.counts["pulls_unusable"] += 1
+        self.state.version.reject(error)
+        delay = self.offers.record_undecodable(peer.name)
+        self.state.lag.record_failure(peer.name, str(error), delay)
+        return False
+
+    def record_unreachable(self, peer, error):
+        """Record a request that failed; return False."""
+        self.state.counts["pull_errors"] += 1
+        delay = self.offers.record_unreachable(peer.name)
+        reason = str(error) or type(error).__name__
+        self.state.lag.record_failure(peer.name, reason, delay)
         return False
 
     async def apply_answer(self, peer, answer, asked_at):
