Count only answered probes as contact with other daemons

What callers saw: requests refused as an older version says by a daemon that could reach the store, but not its peers. Cause: a daemon reads the store itself once it has no contact with others, and any packet that arrived counted as contact. In a one-way partition packets arrive all the time, while no request gets out. The recovery of quarantine entries after an isolation goes by the same.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -8,9 +8,9 @@
 RENEW_SECONDS = 1.0
 """Shortest time between two selections of the readers."""
 ISOLATION_PERIODS = 1.5
-"""Gossip periods without a packet after which a daemon reads the store itself.
-As long as it has contact with any member, it gets an answer in each period,
-and the answer carries the version."""
+"""Gossip periods without an answer to a probe after which a daemon reads the
+store itself. As long as it has contact with any member, it gets an answer in
+each period, and the answer carries the version."""
 
 
 class Readers:
@@ -88,11 +88,12 @@
         A daemon that is partitioned from all others, but not from the store,
         goes on serving callers. If it relied on the readers, it would route
         by a stale version until the partition heals, without any error in
-        its log.
+        its log. Packets that only arrive are no contact: a daemon whose own
+        packets are lost gets offers of versions, but can't request them.
         """
         return (
             self.is_reader()
-            or self.members.seconds_since_packet() > self.isolation_timeout
+            or self.members.seconds_since_contact() > self.isolation_timeout
         )
 
     def other_readers(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/detector.py
@@ -82,6 +82,10 @@
     epoch : int
         Raised after a pause of this process; probes of an earlier epoch
         are void.
+    contact_at : float
+        When a member last answered a probe of this daemon.
+    contact_listeners : list of callable
+        Called with the name of each member that answers a probe.
     """
 
     def __init__(self, timing, table, gossip, random, clock, apply):
@@ -104,6 +108,8 @@
         self.pauses = 0
         self.group = None
         self.indirect_probes = 0
+        self.contact_at = clock()
+        self.contact_listeners = []
 
     async def run(self):
         """Probe until cancelled."""
@@ -342,12 +348,23 @@
         probe = self.probes.get(packet.sequence)
         if probe is not None and packet.target == probe.target:
             probe.answered.set()
+            self.record_contact(packet.sender)
 
     def handle_nack(self, packet):
         """Count a helper that is alive but got no answer from the target."""
         probe = self.probes.get(packet.sequence)
         if probe is not None:
             probe.nacks += 1
+            self.record_contact(packet.sender)
+
+    def record_contact(self, name):
+        """Record that packets pass in both directions to and from a member.
+
+        A packet that arrives unasked shows only one direction.
+        """
+        self.contact_at = self.clock()
+        for listener in self.contact_listeners:
+            listener(name)
 
     def handle_ping_via(self, packet, address):
         """Start a probe on behalf of another daemon."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -87,7 +87,7 @@
             settings.timing, self.table, self.gossip, random, clock, self.apply
         )
         self.receiver = PacketReceiver(
-            self.table, self.gossip, self.detector, self.apply, clock
+            self.table, self.gossip, self.detector, self.apply
         )
         self.exchange = Exchange(self.table, links, self.apply)
         self.seeds = SeedRows(vm, table, self.table)
@@ -162,9 +162,9 @@
         """
         self.receiver.version_listeners.append(callback)
 
-    def seconds_since_packet(self):
-        """Return the seconds since the last packet of another member."""
-        return self.clock() - self.receiver.received_at
+    def seconds_since_contact(self):
+        """Return the seconds since a member last answered a probe."""
+        return self.clock() - self.detector.contact_at
 
     def set_configuration(self, version):
         """Set the configuration version that packets carry."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/receiving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/receiving.py
@@ -13,26 +13,21 @@
     detector : Detector
     apply : callable
         Called with each update.
-    clock : callable
 
     Attributes
     ----------
-    received_at : float
-        When the last packet of another member arrived.
     version_listeners : list of callable
         Called with a newer version and the member that holds it.
     misdirected : int
         Packets from this daemon itself or for another member.
     """
 
-    def __init__(self, table, gossip, detector, apply, clock):
+    def __init__(self, table, gossip, detector, apply):
         self.table = table
         self.local = table.local
         self.gossip = gossip
         self.detector = detector
         self.apply = apply
-        self.clock = clock
-        self.received_at = clock()
         self.version_listeners = []
         self.misdirected = 0
 
@@ -41,7 +36,6 @@
         if packet.sender == self.local.name:
             self.misdirected += 1
             return
-        self.received_at = self.clock()
         for update in packet.updates:
             self.apply(update)
         if packet.wants_record:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/propagation.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/propagation.py
@@ -48,7 +48,7 @@
     ----------
     registry : QuarantineRegistry
     members : Membership
-        Used as `Members`, and for `seconds_since_packet`.
+        Used as `Members`, and for `seconds_since_contact`.
     links : Links
     rows : QuarantineRows
         Read from the store if no peer is synchronized.
@@ -258,7 +258,7 @@
 
     def detect_isolation(self):
         """Require synchronization again once an isolation has ended."""
-        if self.members.seconds_since_packet() > self.readers.isolation_timeout:
+        if self.members.seconds_since_contact() > self.readers.isolation_timeout:
             self.was_isolated = True
         elif self.was_isolated:
             self.was_isolated = self.is_synchronized = False
--- a/tests/unit/daemon/quarantine_fleet.py
+++ b/tests/unit/daemon/quarantine_fleet.py
@@ -101,7 +101,7 @@
     def upstreams(self, service):
         return self.live()
 
-    def seconds_since_packet(self):
+    def seconds_since_contact(self):
         return 0.0 if self.fleet.others_of(self) else self.isolation_timeout + 1.0
 
     isolation_timeout = 1.5
--- a/tests/unit/daemon/test_version_watching.py
+++ b/tests/unit/daemon/test_version_watching.py
@@ -26,14 +26,14 @@
     def __init__(self, local, live):
         self.local = local
         self.live_members = live
-        self.packet_age = 0.0
+        self.contact_age = 0.0
         self.announced = []
 
     def live(self):
         return self.live_members
 
-    def seconds_since_packet(self):
-        return self.packet_age
+    def seconds_since_contact(self):
+        return self.contact_age
 
     def set_configuration(self, version):
         pass
@@ -136,7 +136,7 @@
         readers = self.readers_of("d1")
         member = next(m for m in self.live if m.name not in readers)
         watcher = self.watcher(member)
-        self.members.packet_age = 1.6 * PERIOD_SECONDS
+        self.members.contact_age = 1.6 * PERIOD_SECONDS
         await watcher.load()
         self.store.calls.clear()
         # Its last read is stale, so that it has to load again.
