End the backoff of dials when a peer answers again

What callers saw: calls and configuration pulls to a peer failed for up to 5 s after a partition, without an attempt. Dials had one of 5 s, above the 3 s after which a daemon counts as in touch. Change: a member that answers a probe is dialled again at once, and its offer of a version is due; the longest backoff is 2 s, for peers that gossip probes less often. Looked at and left: claims (1 s), joining, the confirmer and the reader of the store (2 s), supervisors (5 s, after exceptions only).

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/manager.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/manager.py
@@ -21,8 +21,8 @@
     settings : DaemonSettings
     log : ConfigurationLog or VersionWatch
     members : Membership
-        Beyond the methods of `Members`, `on_newer_configuration` and
-        `set_configuration` are used.
+        Beyond the methods of `Members`, `on_newer_configuration`,
+        `on_contact` and `set_configuration` are used.
     links : Links
     random : random.Random
     clock : callable
@@ -64,6 +64,7 @@
         )
         self.answering = Answering(self.state, links, note_offer)
         members.on_newer_configuration(note_offer)
+        members.on_contact(self.puller.offers.record_contact)
 
     @property
     def current(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/dialling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/dialling.py
@@ -121,6 +121,16 @@
         )
         return link
 
+    def end_backoff(self, name):
+        """Allow the next dial of a peer at once, as it answers again.
+
+        A backoff that grew during a partition would otherwise outlast it.
+        """
+        peer = self.links.peers.get(name)
+        if peer is not None and peer.failures:
+            peer.failures = 0
+            peer.retry_at = 0.0
+
     def reconnect(self, member):
         """Redial a peer in the background after its link has timed out.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/limits.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/limits.py
@@ -24,7 +24,9 @@
 HANDSHAKE_SECONDS = 2.0
 DIAL_SECONDS = 1.0
 BACKOFF_FIRST_SECONDS = 0.1
-BACKOFF_MAX_SECONDS = 5.0
+BACKOFF_MAX_SECONDS = 2.0
+"""Longest time between two dials of a peer. A link has to be open again
+within 3 s after a partition, also to a peer that gossip probes seldom."""
 RECONNECT_SECONDS = 15.0
 """How long an unresponsive peer is redialled after its link was closed. By
 then gossip has declared it dead, or it answers again."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -162,6 +162,13 @@
         """
         self.receiver.version_listeners.append(callback)
 
+    def on_contact(self, callback):
+        """Register a callback for members that answer a probe.
+
+        It gets the name of the member.
+        """
+        self.detector.contact_listeners.append(callback)
+
     def seconds_since_contact(self):
         """Return the seconds since a member last answered a probe."""
         return self.clock() - self.detector.contact_at
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -123,6 +123,7 @@
         )
         self.configuration.on_change(self.policy_changed)
         self.links.on_leaving(self.membership.mark_leaving)
+        self.membership.on_contact(self.links.dialler.end_backoff)
         self.links.on_unresponsive(self.router.set_link_unresponsive)
 
     def build_quarantine(self):
--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -247,7 +247,7 @@
             clock,
             VersionWatcher,
         )
-        fleet.connect_parts(self)
+        self.members.on_contact(self.links.dialler.end_backoff)
         self.versions = []
         self.configuration.on_change(
             lambda policy: self.versions.append(policy.version)
@@ -328,9 +328,6 @@
             await daemon.stop()
         self.patch.stop()
 
-    def connect_parts(self, daemon):
-        """Connect the parts of a daemon as `Daemon` does."""
-
     def start(self, name):
         self.disturbed_at[name] = self.clock()
         self.daemons[name] = SimulatedDaemon(self, name, self.domains[name])
