Let others read for readers that the store turns away

What callers saw: no change of the configuration in force while the store turned the readers away and served all other machines. Cause: two readers of each failure domain are selected among those alive; whether the store answers them enters nowhere. Change: each gossip packet tells in one bit, which older releases ignore, whether the store answered its sender's last read; a change is sent to the whole domain at once. Where a reader has lost the store, as many members that have not read beside it; the reader keeps trying. One that is refused as well is selected again after 5 s, or half a second a member of the domain, so that an outage of the store brings few reads.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -2,6 +2,8 @@
 
 from itertools import filterfalse
 
+import logbook
+
 from papayabay_daemon._internal.membership.seeds import pick_by_rendezvous
 
 PURPOSE = "configuration-reader"
@@ -11,17 +13,24 @@
 """Gossip periods without an answer to a probe after which a daemon reads the
 store itself. As long as it has contact with any member, it gets an answer in
 each period, and the answer carries the version."""
+RETRY_SECONDS = 5.0
+"""Time after which a member that the store turned away may be selected again
+in place of a reader. It grows with the failure domain, so that an outage of
+the store causes few reads of each domain at any size."""
+RETRY_SECONDS_PER_MEMBER = 0.5
+log = logbook.Logger("papayabay.configuration")
 
 
 class Readers:
     """Selects the readers among the live members.
 
-    Two daemons may differ in their selection for a while; an additional
-    reader does no harm.
+    Readers that the store turns away, while it may serve others, stay readers
+    and keep trying; as many other members read in addition. Two daemons may
+    differ in their selection for a while; an additional reader does no harm.
 
     Parameters
     ----------
-    members : Members
+    members : Membership
     count : int
         Readers per failure domain.
     clock : callable
@@ -35,39 +44,103 @@
         self.isolation_timeout = period * ISOLATION_PERIODS
         self.clock = clock
         self.live = None
+        self.lost = frozenset()
+        self.lost_at = 0.0
         self.picked_at = 0.0
         self.picked = []
         self.domains = []
         self.first = None
+        self.is_substitute = False
 
     def current(self):
         """Return the readers of the own failure domain.
 
         They are selected again only after the members have changed, and not
-        more often than each `RENEW_SECONDS`.
+        more often than each `RENEW_SECONDS`, or at once after a member has
+        lost the store or reaches it again.
         """
         live = self.members.live()
+        lost = self.members.without_store()
         now = self.clock()
         recent = now - self.picked_at < RENEW_SECONDS
-        if self.live is None or (live is not self.live and not recent):
+        changed = live is not self.live and not recent
+        if self.live is None or changed or lost is not self.lost:
             self.live = live
+            self.lost = lost
             self.picked_at = now
-            self.picked = self.pick(live)
             self.domains = sorted({member.failure_domain for member in live})
             self.first = self.pick_first(live)
+            self.select()
         return self.picked
 
+    def select(self):
+        """Select the readers of the own domain, and log a change of role."""
+        regular = self.pick(self.live)
+        substitutes = []
+        if any(self.has_lost_store(member) for member in regular):
+            substitutes = self.pick(filterfalse(self.has_lost_store, self.live))
+        self.picked = regular + [one for one in substitutes if one not in regular]
+        local = self.members.local
+        is_substitute = local in substitutes and local not in regular
+        if is_substitute != self.is_substitute:
+            self.is_substitute = is_substitute
+            self.log_role([member.name for member in regular])
+
+    def log_role(self, regular):
+        """Log that this daemon begins or ends to read for others."""
+        if self.is_substitute:
+            log.notice(
+                "reading the configuration store, as it does not answer all "
+                "readers of the failure domain: {}",
+                ", ".join(regular),
+            )
+        else:
+            log.notice("leaving the configuration store to its readers again")
+
+    def has_lost_store(self, member):
+        """Return whether the store did not answer a member's last read."""
+        if member is self.members.local:
+            return self.members.store_lost
+        return member.name in self.lost
+
     def pick(self, live):
-        """Return the own domain's readers among the live members."""
+        """Return the readers of the own domain among some members."""
         return pick_by_rendezvous(self.domain_members(live), PURPOSE, self.count)
 
     def pick_first(self, live):
         """Return the fleet's first reader, from the first failure domain."""
         first = self.domains[0]
         members = [member for member in live if member.failure_domain == first]
-        (picked,) = pick_by_rendezvous(members, PURPOSE, 1)
+        served = list(filterfalse(self.has_lost_store, members))
+        (picked,) = pick_by_rendezvous(served or members, PURPOSE, 1)
         return picked
 
+    def record_access(self, answered):
+        """Record whether the store answered a read of this daemon.
+
+        The other members of the domain are notified of a change at once.
+        """
+        if not answered:
+            self.lost_at = self.clock()
+        self.set_store_lost(not answered)
+
+    def set_store_lost(self, lost):
+        """Set whether this daemon has lost the store, and tell the domain."""
+        if lost == self.members.store_lost:
+            return
+        self.members.set_store_lost(lost)
+        if self.live is not None:
+            self.select()
+        self.members.announce_version(self.others_of_domain())
+
+    def expire_loss(self):
+        """Let a daemon that does not read be selected again after a while."""
+        if not self.members.store_lost:
+            return
+        retry = RETRY_SECONDS_PER_MEMBER * len(self.domain_members())
+        if self.clock() - self.lost_at > max(RETRY_SECONDS, retry):
+            self.set_store_lost(False)
+
     def domain_members(self, live=None):
         """Return the live members of the own failure domain."""
         domain = self.members.local.failure_domain
@@ -82,6 +155,11 @@
             filterfalse(lambda member: member.name in excluded, self.domain_members())
         )
 
+    def others_of_domain(self):
+        """Return the other live members of the own failure domain."""
+        local = self.members.local
+        return [member for member in self.domain_members() if member is not local]
+
     def must_read(self):
         """Return whether this daemon has to read the store itself.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
@@ -56,6 +56,8 @@
             await asyncio.sleep(self.poll_interval * self.random.uniform(0.9, 1.1))
             if self.readers.is_reader():
                 await self.read()
+            else:
+                self.readers.expire_loss()
 
     async def read(self):
         """Read newer versions; return whether the store answered."""
@@ -70,6 +72,7 @@
             return False
         else:
             self.outage.record_success()
+            self.readers.record_access(True)
         return True
 
     async def confirm(self):
@@ -98,3 +101,4 @@
         """Count a failed access to the store."""
         self.state.counts["store_errors"] += 1
         self.outage.record_failure(error)
+        self.readers.record_access(False)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -92,6 +92,7 @@
                 # The last version read here will be stale when it becomes a
                 # reader again.
                 self.loaded = False
+                self.readers.expire_loss()
                 await asyncio.sleep(RECHECK_SECONDS)
 
     async def follow(self):
@@ -128,6 +129,7 @@
             self.loaded = False
             self.state.counts["store_errors"] += 1
             self.outage.record_failure(error)
+            self.readers.record_access(False)
             return False
         except PolicyError as error:
             # The store answered with a version that this release can't read.
@@ -142,6 +144,7 @@
         self.loaded = True
         self.pause = FIRST_PAUSE_SECONDS
         self.outage.record_success()
+        self.readers.record_access(True)
         return True
 
     def apply(self, configuration):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/gossip.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/gossip.py
@@ -30,6 +30,8 @@
     ----------
     configuration : int
         Configuration version that each packet carries.
+    store_lost : bool
+        Whether each packet says that the store does not answer this daemon.
     strays : int
         Received datagrams that are malformed or not authentic.
     """
@@ -42,6 +44,7 @@
         self.updates = UpdateQueue()
         self.budget = update_budget(clock(), period)
         self.configuration = 0
+        self.store_lost = False
         self.transport = None
         self.packets_sent = 0
         self.bytes_sent = 0
@@ -89,6 +92,7 @@
             self.configuration,
             target,
             wants_record,
+            self.store_lost,
         )
         updates = self.pick_updates(packet, required)
         datagram = self.sealer.seal(packet, updates)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/membership.py
@@ -177,9 +177,27 @@
         """Set the configuration version that packets carry."""
         self.gossip.configuration = version
 
+    @property
+    def store_lost(self):
+        """Whether the store did not answer this daemon's last read."""
+        return self.gossip.store_lost
+
+    def set_store_lost(self, lost):
+        """Set whether packets say that the store does not answer."""
+        self.gossip.store_lost = lost
+
+    def without_store(self):
+        """Return the names of the other members that have lost the store.
+
+        The set is the same object until it changes.
+        """
+        return self.receiver.without_store
+
     def announce_version(self, peers):
         """Send the configuration version to some members at once.
 
+        The packets also tell whether the store answers this daemon.
+
         Parameters
         ----------
         peers : list of Member
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/packets.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/packets.py
@@ -18,6 +18,7 @@
 """Flag of an update that holds only state, incarnation and name."""
 STATE_MASK = 0x03
 WANTS_RECORD = 0x01
+STORE_LOST = 0x02
 HEADER = struct.Struct("!BBBIIQQ")
 STATE = struct.Struct("!BQ")
 PORTS = struct.Struct("!HHHH")
@@ -60,6 +61,8 @@
         Name of the probed member.
     wants_record : bool
         Whether the sender requests the receiver's current record.
+    store_lost : bool
+        Whether the store did not answer the sender's last read.
     updates : list of Update
     """
 
@@ -70,6 +73,7 @@
     configuration: int
     target: str
     wants_record: bool = False
+    store_lost: bool = False
     updates: list[Update] = field(default_factory=list)
 
 
@@ -200,7 +204,7 @@
         head = HEADER.pack(
             PROTOCOL,
             packet.kind,
-            WANTS_RECORD if packet.wants_record else 0,
+            packet.wants_record * WANTS_RECORD | packet.store_lost * STORE_LOST,
             self.cluster,
             packet.sequence,
             packet.incarnation,
@@ -251,5 +255,6 @@
             configuration,
             target,
             bool(flags & WANTS_RECORD),
+            bool(flags & STORE_LOST),
             decode_updates(body, offset),
         )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/receiving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/receiving.py
@@ -18,6 +18,8 @@
     ----------
     version_listeners : list of callable
         Called with a newer version and the member that holds it.
+    without_store : frozenset of str
+        Members that the store does not answer, by their last packets.
     misdirected : int
         Packets from this daemon itself or for another member.
     """
@@ -29,6 +31,7 @@
         self.detector = detector
         self.apply = apply
         self.version_listeners = []
+        self.without_store = frozenset()
         self.misdirected = 0
 
     def handle_packet(self, packet, address):
@@ -38,6 +41,8 @@
             return
         for update in packet.updates:
             self.apply(update)
+        if packet.store_lost != (packet.sender in self.without_store):
+            self.record_store_loss(packet)
         if packet.wants_record:
             self.gossip.updates.add(self.local.name)
         if packet.configuration > self.gossip.configuration:
@@ -51,6 +56,12 @@
         else:
             self.detector.handle_ping_via(packet, address)
 
+    def record_store_loss(self, packet):
+        """Record that a member has lost the store, or reaches it again."""
+        known = {name for name in self.without_store if self.table.get(name)}
+        change = known.union if packet.store_lost else known.difference
+        self.without_store = frozenset(change((packet.sender,)))
+
     def notify_version(self, packet):
         """Notify the listeners of a newer configuration version."""
         for listener in self.version_listeners:
--- a/tests/unit/daemon/test_confirmations.py
+++ b/tests/unit/daemon/test_confirmations.py
@@ -42,6 +42,9 @@
     def first_of_fleet(self):
         return self.first
 
+    def record_access(self, answered):
+        pass
+
     def other_readers(self):
         return self.others
 
--- a/tests/unit/daemon/test_membership_rules.py
+++ b/tests/unit/daemon/test_membership_rules.py
@@ -136,6 +136,8 @@
         self.assertEqual(packet.updates[1], Update("d", 3, DEAD))
         packet.updates = []
         self.assertEqual(packet, self.packet)
+        self.packet.store_lost = True
+        self.assertTrue(self.sealer.open(self.sealer.seal(self.packet)).store_lost)
 
     def test_invalid_datagrams_are_rejected(self):
         datagram = self.sealer.seal(self.packet, [encode_full(make_member("c"))])
--- a/tests/unit/daemon/test_version_watching.py
+++ b/tests/unit/daemon/test_version_watching.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from papayabay_core.configuration import Configuration
+from papayabay_core.exceptions import PlatformError
 from papayabay_daemon._internal.configuration.readers import Readers
 from papayabay_daemon._internal.configuration.state import ConfigurationState
 from papayabay_daemon._internal.configuration.watching import VersionWatcher
@@ -28,10 +29,18 @@
         self.live_members = live
         self.contact_age = 0.0
         self.announced = []
+        self.store_lost = False
+        self.lost_names = frozenset()
 
     def live(self):
         return self.live_members
 
+    def without_store(self):
+        return self.lost_names
+
+    def set_store_lost(self, lost):
+        self.store_lost = lost
+
     def seconds_since_contact(self):
         return self.contact_age
 
@@ -146,3 +155,28 @@
         await watcher.follow()
         self.assertEqual(self.store.calls, ["load", "changed"])
         self.assertEqual(watcher.state.version.latest.version, 2)
+
+    async def test_substitutes_read_for_readers_without_the_store(self):
+        """A reader that the store turned away stayed one of only two."""
+        first, second = self.readers_of("d1")
+        others = [m for m in self.live[:DOMAIN_SIZE] if m.name not in (first, second)]
+        watcher = self.watcher(others[0])
+        self.members.lost_names = frozenset({first})
+        selected = [member.name for member in watcher.readers.current()]
+        self.assertEqual(selected[:2], [first, second])
+        self.assertEqual(len(selected), 3)
+        self.members.lost_names = frozenset()
+        self.assertEqual(len(watcher.readers.current()), 2)
+
+    async def test_lost_store_is_announced_to_the_domain_once(self):
+        """Others learned only by gossip that a reader has lost the store."""
+        names = self.readers_of("d1")
+        watcher = self.watcher(next(m for m in self.live if m.name == names[0]))
+        refused = mock.AsyncMock(side_effect=PlatformError("refused"))
+        await watcher.read(refused)
+        await watcher.read(refused)
+        domain = {m.name for m in self.live[:DOMAIN_SIZE]} - {names[0]}
+        self.assertTrue(self.members.store_lost)
+        self.assertEqual(self.members.announced, [domain])
+        await watcher.read(watcher.watch.load)
+        self.assertFalse(self.members.store_lost)
