Require a version only once the store has served someone

Cause: the new check demanded a version in the very moment in which the store answered its first daemon again. Change: one calm daemon has to have been served for 3 s, the time after which a daemon itself counts as in touch. Conclusion: the check is as strict for all that could be known.

--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -309,7 +309,7 @@
         self.store_calls = 0
         self.loss = 0.0
         self.cuts, self.cut_off, self.turned_away = {}, set(), {}
-        self.disturbed_at, self.store_disturbed_at = {}, 0.0
+        self.disturbed_at, self.served_since, self.store_disturbed_at = {}, {}, 0.0
         self.late = []
         self.daemons = {}
         self.patch = mock.patch.object(dialling, "now", self.clock)
@@ -377,6 +377,7 @@
         await asyncio.sleep(seconds)
         del self.cuts[key]
         self.cut_off -= reached
+        self.serve_again(reached)
         self.disturb(names)
 
     async def turn_away(self, names, seconds, mode):
@@ -387,6 +388,7 @@
         await asyncio.sleep(seconds)
         for name in names:
             del self.turned_away[name]
+        self.serve_again(names)
         self.store_disturbed_at = self.clock()
 
     async def lose(self, share, seconds):
@@ -400,6 +402,15 @@
         """Return the names of a random share of the daemons, one at least."""
         return self.rng.sample(self.names, max(1, round(share * len(self.names))))
 
+    def serve_again(self, names):
+        """Record that the store serves some daemons again."""
+        self.served_since |= dict.fromkeys(names, self.clock())
+
+    def was_served(self, name):
+        """Return whether the store has served a daemon for long enough."""
+        served_for = self.clock() - self.served_since.get(name, 0.0)
+        return self.is_served(name) and served_for >= CONTACT_S
+
     def disturb(self, names):
         self.disturbed_at |= dict.fromkeys(names, self.clock())
 
@@ -420,8 +431,9 @@
     def check(self):
         """Record each daemon that is behind longer than the bound.
 
-        The bound holds for daemons without disruption, as long as one of them
-        is served by the store.
+        The bound holds for daemons without disruption, as long as the store
+        has served one of them for some time: a version that it gave to nobody
+        can't be in force.
         """
         now = self.clock()
         busy = bool(self.turned_away) or now - self.store_disturbed_at < CONTACT_S
@@ -435,7 +447,7 @@
             and not any(cut(name, name) for cut in self.cuts.values())
             and now - self.disturbed_at[name] >= CONTACT_S
         ]
-        if not any(self.is_served(name) for name in calm):
+        if not any(map(self.was_served, calm)):
             return
         self.late += [
             (name, round(now, 2), self.daemons[name].version, required)
