Notice within seconds that the store has stopped to answer readers

What callers saw: no change in force for up to 11 s while the store left the readers' requests without an answer, and after it had recovered: a request that was sent meanwhile is never answered. Cause: a change ends the requests of all readers at once, and each then waits 10 s, and 1 s more, for the next answer; nothing is due earlier. Change: first waits differ by reader, so that of six or more one is due every 1.7 s at most; fewer readers wait shorter. A newer version from a peer limits a wait to one second more. The backoff counts from the start of a request. The client's timeout follows the wait it asks for. Conclusion: the delay is bounded by a sixth of the longest wait and a timeout.

--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -51,7 +51,7 @@
             make_socket=keepalive_socket,
         )
 
-    async def read(self, url, query=None):
+    async def read(self, url, query=None, wait_seconds=0.0):
         """Send a GET request and return its `Reply`.
 
         All failures are raised as `PlatformError`.
@@ -60,9 +60,13 @@
         ----------
         url : str
         query : dict of str to str or None
+        wait_seconds : float
+            How long the platform may wait before it answers, in addition to
+            the timeout.
         """
         try:
-            reply = await self.exchange("GET", url, query=query)
+            async with asyncio.timeout(self.timeout + wait_seconds):
+                reply = await self.exchange("GET", url, query=query)
         except (OSError, TimeoutError, ValueError) as error:
             raise PlatformError(f"{url}: {describe(error)}") from None
         self.observe_era(reply)
@@ -90,7 +94,8 @@
         """
         era_before = self.era.current
         try:
-            reply = await self.exchange(method, url, content)
+            async with asyncio.timeout(self.timeout):
+                reply = await self.exchange(method, url, content)
         except NotSent as error:
             raise PlatformError(f"{url}: {error}") from None
         except (OSError, TimeoutError, ValueError) as error:
@@ -124,12 +129,12 @@
             )
 
     async def exchange(self, method, url, content=b"", query=None):
-        """Send one request and return its `Reply`.
+        """Send one request and return its `Reply`; the caller limits its time.
 
         An idempotent request is retried once if its connection fails without
         an answer: the platform may have closed an idle connection.
         """
-        async with asyncio.timeout(self.timeout), self.slots:
+        async with self.slots:
             try:
                 return await self.requester.send(method, url, content, query)
             except NotSent:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -1,5 +1,6 @@
 """Selection of the members that read the store for a failure domain."""
 
+from collections import Counter
 from itertools import filterfalse
 
 import logbook
@@ -18,6 +19,10 @@
 in place of a reader. It grows with the failure domain, so that an outage of
 the store causes few reads of each domain at any size."""
 RETRY_SECONDS_PER_MEMBER = 0.5
+FULL_WAIT_READERS = 6
+"""Readers of the fleet from which each waits for changes as long as the store
+allows. Fewer wait shorter, so that one of them gets an answer, or misses it,
+at least each sixth of that time."""
 log = logbook.Logger("papayabay.configuration")
 
 
@@ -49,6 +54,7 @@
         self.picked_at = 0.0
         self.picked = []
         self.domains = []
+        self.total = 1
         self.first = None
         self.is_substitute = False
 
@@ -68,7 +74,9 @@
             self.live = live
             self.lost = lost
             self.picked_at = now
-            self.domains = sorted({member.failure_domain for member in live})
+            sizes = Counter(member.failure_domain for member in live)
+            self.domains = sorted(sizes)
+            self.total = sum(min(size, self.count) for size in sizes.values())
             self.first = self.pick_first(live)
             self.select()
         return self.picked
@@ -195,6 +203,24 @@
         index = names.index(local.name) if local.name in names else len(names)
         return index * len(self.domains) + self.domains.index(local.failure_domain)
 
+    def wait_share(self, was_current):
+        """Return for which share of the longest wait to wait for changes.
+
+        A change ends the waits of all readers at the same time. If each then
+        waited as long as any other, a store that stopped to answer would go
+        unnoticed by all of them for that long. So the first waits differ.
+
+        Parameters
+        ----------
+        was_current : bool
+            Whether the last wait of this daemon ended without a change.
+        """
+        self.current()
+        longest = min(1.0, self.total / FULL_WAIT_READERS)
+        if was_current:
+            return longest
+        return longest * (self.fleet_index() % self.total + 1) / self.total
+
     def is_reader(self):
         """Return whether this daemon is a reader of its domain."""
         return any(member is self.members.local for member in self.current())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -17,6 +17,9 @@
 failure domain, and whether it is a reader."""
 RECHECK_SECONDS = 0.25
 """How often a daemon checks whether it is a reader."""
+CHANGE_LAG_SECONDS = 1.0
+"""Time after which a request for changes counts as unanswered when a newer
+version has come from a peer."""
 log = logbook.Logger("papayabay.configuration")
 
 
@@ -33,11 +36,16 @@
             When the stored version can't be read.
         """
 
-    async def changed(self) -> Configuration | None:
+    async def changed(self, share: float) -> Configuration | None:
         """Wait for a change since the last load, for some seconds at most.
 
         Returns None when there was no change, and raises the same exceptions
         as `load`.
+
+        Parameters
+        ----------
+        share : float
+            Share of the longest wait that the store allows.
         """
 
     async def poll(self) -> Configuration | None:
@@ -65,6 +73,10 @@
         Whether the next read may wait for a change, rather than load.
     stored_version : int
         Version that the store returned last; 0 if it can't be read.
+    was_current : bool
+        Whether the last request for changes ended without any.
+    waiting : asyncio.Timeout or None
+        Timeout of the request for changes that is in flight.
     """
 
     def __init__(self, settings, state, watch, readers, random):
@@ -75,7 +87,10 @@
         self.outage = Outage(log, "configuration store", state.clock)
         self.loaded = False
         self.stored_version = 0
+        self.was_current = False
+        self.waiting = None
         self.pause = FIRST_PAUSE_SECONDS
+        state.version.listeners.append(self.expect_change)
 
     async def load(self):
         """Load the newest version from the store, if it answers."""
@@ -91,17 +106,52 @@
             else:
                 # The last version read here will be stale when it becomes a
                 # reader again.
-                self.loaded = False
+                self.loaded = self.was_current = False
                 self.readers.expire_loss()
                 await asyncio.sleep(RECHECK_SECONDS)
 
     async def follow(self):
-        """Read once, and back off when the store does not answer."""
-        request = self.watch.changed if self.loaded else self.watch.load
+        """Read once, and back off when the store does not answer.
+
+        The backoff begins with the request: one that was not answered has
+        spaced the next one already.
+        """
+        started = self.state.clock()
+        request = self.wait_for_change if self.loaded else self.watch.load
         if not await self.read(request):
-            await asyncio.sleep(self.pause * self.random.uniform(0.5, 1.0))
+            pause = self.pause * self.random.uniform(0.5, 1.0)
+            await asyncio.sleep(max(0.0, started + pause - self.state.clock()))
             self.pause = min(MAX_PAUSE_SECONDS, self.pause * 2)
 
+    async def wait_for_change(self):
+        """Wait for a change in the store.
+
+        Raises
+        ------
+        PlatformError
+            Also when a peer has had a newer version for a while: the store
+            has then not answered this request.
+        """
+        share = self.readers.wait_share(self.was_current)
+        try:
+            async with asyncio.timeout(None) as self.waiting:
+                configuration = await self.watch.changed(share)
+        except TimeoutError:
+            raise PlatformError(
+                f"no answer {CHANGE_LAG_SECONDS:.1f} s after a newer version came "
+                f"from a peer"
+            ) from None
+        finally:
+            self.waiting = None
+        self.was_current = configuration is None
+        return configuration
+
+    def expect_change(self, policy):
+        """Limit the wait for a change after a peer has sent one."""
+        if self.waiting is not None and self.waiting.when() is None:
+            loop = asyncio.get_running_loop()
+            self.waiting.reschedule(loop.time() + CHANGE_LAG_SECONDS)
+
     async def confirm(self):
         """Have the store confirm the version; return whether it answered."""
         return await self.read(
@@ -126,7 +176,7 @@
         try:
             configuration = await request()
         except PlatformError as error:
-            self.loaded = False
+            self.loaded = self.was_current = False
             self.state.counts["store_errors"] += 1
             self.outage.record_failure(error)
             self.readers.record_access(False)
--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -176,7 +176,7 @@
         await self.ask()
         return self.newer()
 
-    async def changed(self, share=1.0):
+    async def changed(self, share):
         fleet = self.fleet
         wait = FEED_S * share
         deadline = fleet.clock() + wait
--- a/tests/unit/daemon/test_version_watching.py
+++ b/tests/unit/daemon/test_version_watching.py
@@ -7,7 +7,11 @@
 
 from papayabay_core.configuration import Configuration
 from papayabay_core.exceptions import PlatformError
-from papayabay_daemon._internal.configuration.readers import Readers
+from papayabay_daemon._internal.configuration import watching
+from papayabay_daemon._internal.configuration.readers import (
+    FULL_WAIT_READERS,
+    Readers,
+)
 from papayabay_daemon._internal.configuration.state import ConfigurationState
 from papayabay_daemon._internal.configuration.watching import VersionWatcher
 from papayabay_daemon._internal.interfaces import Member
@@ -62,7 +66,7 @@
         self.calls.append("load")
         return Configuration(self.version, {"services": {}})
 
-    async def changed(self):
+    async def changed(self, share):
         self.calls.append("changed")
         self.version += 1
         return Configuration(self.version, {"services": {}})
@@ -129,7 +133,7 @@
         names = self.readers_of("d1")
         reader = next(member for member in self.live if member.name == names[0])
         watcher = self.watcher(reader)
-        await watcher.read(watcher.watch.changed)
+        await watcher.read(watcher.wait_for_change)
         followers = {m.name for m in self.live[:DOMAIN_SIZE]} - set(names)
         self.assertEqual(self.members.announced, [followers])
         watcher.apply(Configuration(self.store.version, {"services": {}}))
@@ -180,3 +184,29 @@
         self.assertEqual(self.members.announced, [domain])
         await watcher.read(watcher.watch.load)
         self.assertFalse(self.members.store_lost)
+
+    async def test_first_waits_of_all_readers_differ(self):
+        """All readers waited for an answer of a silent store equally long.
+
+        A change had ended all of their requests at the same moment.
+        """
+        names = self.readers_of("d1") + self.readers_of("d2")
+        readers = [
+            self.watcher(member).readers for member in self.live if member.name in names
+        ]
+        first = sorted(one.wait_share(was_current=False) for one in readers)
+        longest = len(names) / FULL_WAIT_READERS
+        self.assertEqual(first, [longest * n / 4 for n in (1, 2, 3, 4)])
+        self.assertEqual({one.wait_share(True) for one in readers}, {longest})
+
+    async def test_unanswered_request_ends_once_a_peer_has_a_newer_version(self):
+        """A reader waited 11 s for a store that had gone silent."""
+        watcher = self.watcher(self.live[0])
+        watcher.watch.changed = lambda share: asyncio.Event().wait()
+        with mock.patch.object(watching, "CHANGE_LAG_SECONDS", 0.0):
+            request = asyncio.create_task(watcher.read(watcher.wait_for_change))
+            await asyncio.sleep(0)
+            watcher.state.apply_full_version(Configuration(9, {"services": {}}))
+            async with asyncio.timeout(5):
+                self.assertFalse(await request)
+        self.assertTrue(watcher.outage.active)
--- a/tests/unit/platform/test_operator_versions.py
+++ b/tests/unit/platform/test_operator_versions.py
@@ -96,8 +96,8 @@
             page(written(), 5), Page([], 6), page(written("r9"), 8)
         )
         await versions.load()
-        self.assertIsNone(await versions.changed())
-        self.assertEqual((await versions.changed()).version, 9)
+        self.assertIsNone(await versions.changed(1.0))
+        self.assertEqual((await versions.changed(1.0)).version, 9)
         self.assertEqual([request[-1] for request in self.client.requests[1:]], [5, 6])
 
     async def test_missing_history_causes_a_full_read(self):
@@ -110,7 +110,7 @@
             page(written(), 5), HistoryGone("gone"), page(written("r9"), 80)
         )
         await versions.load()
-        self.assertEqual((await versions.changed()).version, 9)
+        self.assertEqual((await versions.changed(1.0)).version, 9)
         self.assertEqual(versions.read_version, 80)
 
     async def test_invalid_version_is_a_policy_error(self):
--- a/tests/unit/platform/test_store_eras.py
+++ b/tests/unit/platform/test_store_eras.py
@@ -55,7 +55,7 @@
         await self.store.put("op", "config", configuration("r7"))
         await self.write_others(10)
         await self.store.put("op", "other", {})
-        self.assertEqual((await versions.changed()).version, 7)
+        self.assertEqual((await versions.changed(1.0)).version, 7)
 
     async def test_delayed_answer_of_an_earlier_era_is_refused(self):
         await self.store.put(OWN_TABLE, "seeds/a", {"seeds": []})
