--- a/tests/functional/test_platform_accounts.py
+++ b/tests/functional/test_platform_accounts.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from tests.functional.test_platform import BOUND_SECONDS, CONFIGURATION, Vm
+from tests.functional.platform_support import BOUND_SECONDS, CONFIGURATION, Vm
 from tests.lib.platform_store import PlatformStore
 
 REVOKE_BOUND_S = 2.0
--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -26,6 +26,8 @@
         runs; the others run it and then ``drop`` the connection, answer with
         bytes that are no HTTP (``garble``), ``truncate`` the body, or send an
         ``extra`` answer.
+    extra_fields : dict of str to str
+        Header fields of all answers, also of refusals and health answers.
     """
 
     def __init__(self, service, host, port, control_port, instance):
@@ -38,6 +40,7 @@
         self.sequence = 0
         self.executed = []
         self.faults = []
+        self.extra_fields = {}
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.drain_acknowledged = asyncio.Event()
@@ -46,6 +49,7 @@
 
     async def start(self):
         application = web.Application()
+        application.on_response_prepare.append(self.add_extra_fields)
         application.router.add_route("*", "/{tail:.*}", self.answer)
         self.runner = web.AppRunner(application, shutdown_timeout=0.1)
         await self.runner.setup()
@@ -97,6 +101,9 @@
         transport.close()
         return web.Response()
 
+    async def add_extra_fields(self, request, response):
+        response.headers.update(self.extra_fields)
+
     def health_response(self):
         return web.Response(
             status=200 if self.state == "ready" else 503,
