Treat a target that says in an answer that it leaves as draining

What callers saw: requests sent to an upstream after it had said in an answer that it leaves. Change: the report of an answer tells of leaving; the daemon beside the target passes on no new calls until another process is announced, and the fleet hears of it as of any draining target. Reports are taken from answers of the announced process only, refusals and failures too, not from stray ones.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -56,9 +56,12 @@
     rate_per_s : float or None
         Calls per second that the target accepts from all callers together;
         None without a limit.
+    leaving : bool
+        Whether the target is leaving, whatever it announces.
     """
 
     rate_per_s: float | None = None
+    leaving: bool = False
 
 
 class TargetDialect(Protocol):
@@ -212,19 +215,20 @@
     return float(match[1]) if match else None
 
 
-def rate_report(content):
+def rate_report(content, leaving=False):
     """Return the report of a rate limit field; None if it is malformed.
 
     Parameters
     ----------
     content : bytes or None
         Calls per second as a decimal number; None without a limit.
+    leaving : bool
     """
     if content is None:
-        return TargetReport()
+        return TargetReport(leaving=leaving)
     if not RATE_PATTERN.fullmatch(content):
-        return None
-    return TargetReport(float(content))
+        return TargetReport(leaving=True) if leaving else None
+    return TargetReport(float(content), leaving)
 
 
 def is_refused_below(status, fields):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -158,7 +158,7 @@
             return
         if not current.draining:
             log.notice(
-                "target of {} deregistered; sending it no new calls", current.service
+                "target of {} is leaving; sending it no new calls", current.service
             )
             self.announcement = replace(current, draining=True)
             self.notify()
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -326,6 +326,8 @@
         if current is None or current.process != announcement.process:
             return
         self.admission.record_report(report, sent_at)
+        if report.leaving:
+            self.registry.mark_draining(current.incarnation, current.born_ms)
 
     def target_crashed(self, crash):
         """Record a crash of the target, and withdraw its announcement.
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -1,11 +1,14 @@
 """Tests of requests to upstreams and of the verdicts on their answers."""
 
+import contextlib
 import unittest
+from unittest import mock
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.http.heads import Head
 from papayabay_core.settings import TargetSettings
 from papayabay_daemon._internal.target import HttpTargetClient
+from papayabay_daemon._internal.target.dialect import TargetReport
 from papayabay_daemon.adapters import Announcement, Verdict
 from papayabay_platform.target_dialect import PlatformTargetDialect
 from tests.unit.daemon.door_fakes import call, settings
@@ -131,6 +134,29 @@
         answer = await self.run_call(call())
         self.assertEqual(answer.body.first, b"own")
 
+    async def test_reports_are_taken_from_the_target_itself_only(self):
+        """A late answer, or one of another process, told of the target."""
+        fields = (b"Server-Limit", b"3.6"), (b"Server-Leaving", b"1")
+        refusal = response(503, OWN, (b"X-Papayabay-Not-Run", b"1"), *fields)
+        for content, count in (
+            (response(200, (ID, b"r0"), SIGNATURE, *fields) + response(200, OWN), 0),
+            (response(421, OWN, *fields), 0),
+            (refusal, 1),
+            (response(500, OWN, SIGNATURE, *fields), 1),
+            (response(200, OWN, SIGNATURE, *fields), 1),
+        ):
+            listener = mock.Mock()
+            self.client.report_listeners = [listener]
+
+            async def behave(reader, writer, content=content):
+                writer.write(content)
+
+            await self.open(behave, incarnation="i-1")
+            with contextlib.suppress(CallError):
+                await self.run_call(call())
+            reports = [one.args[1] for one in listener.call_args_list]
+            self.assertEqual(reports, [TargetReport(3.6, True)] * count, content)
+
     async def test_effect_is_unknown_if_all_answers_are_to_other_requests(self):
         async def behave(reader, writer):
             for _ in range(8):
