Fetch a readable version although a later one can't be read

What callers saw: nothing yet; found on reading the change. Cause: a version that can't be decoded delayed older ones as well, which other peers offer, and an older undecodable one of another peer had no backoff. Measured: test_undecodable_version_does_not_delay_an_older_one failed before.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/offers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/offers.py
@@ -43,7 +43,7 @@
     ----------
     version, failures : int
     retry_at : float
-        Time before which neither it nor an older version is fetched.
+        Time before which it is fetched from no peer.
     """
 
     version: int = 0
@@ -126,16 +126,21 @@
         return delay
 
     def record_undecodable(self, name):
-        """Record that the offered version can't be decoded by this release."""
+        """Record that the offered version can't be decoded by this release.
+
+        It delays requests to this peer, and to all that offer this version.
+        """
         offer = self.by_peer.get(name)
         if offer is None:
             return 0.0
-        if offer.version > self.undecodable.version:
-            self.undecodable = UndecodableVersion(offer.version)
-        delay = self.backoff(self.undecodable.failures, UNUSABLE_MAX_SECONDS)
-        self.undecodable.failures += 1
-        self.undecodable.retry_at = self.state.clock() + delay
-        return delay
+        known = self.undecodable
+        if offer.version > known.version:
+            known = self.undecodable = UndecodableVersion(offer.version)
+        if offer.version == known.version:
+            delay = self.backoff(known.failures, UNUSABLE_MAX_SECONDS)
+            known.failures += 1
+            known.retry_at = self.state.clock() + delay
+        return self.record_missing(name)
 
     def backoff(self, failures, longest):
         """Return a delay with jitter, so that daemons do not ask at once."""
@@ -172,7 +177,7 @@
 
     def due_at(self, offer):
         """Return when a peer may be asked for its offer."""
-        if offer.version <= self.undecodable.version:
+        if offer.version == self.undecodable.version:
             return max(offer.retry_at, self.undecodable.retry_at)
         return offer.retry_at
 
--- a/tests/unit/daemon/test_configuration_offers.py
+++ b/tests/unit/daemon/test_configuration_offers.py
@@ -56,6 +56,16 @@
         self.offers.record(10, "b")
         self.assertEqual(self.next_peer(), "b")
 
+    def test_undecodable_version_does_not_delay_an_older_one(self):
+        """A version that could be read was withheld by a later one."""
+        self.offers.record(9, "a")
+        self.offers.record_undecodable("a")
+        self.offers.record(8, "b")
+        self.assertEqual(self.next_peer(), "b")
+        for _ in range(12):
+            self.offers.record_undecodable("b")
+        self.assertIsNone(self.next_peer())
+
     def test_peer_without_the_version_it_offers_delays_no_other_peer(self):
         """A peer that offers what it does not have was asked all the time."""
         self.offers.record(9, "a")
