Spread the return of calls refused by a target's rate limit

What callers saw: refused calls come back at the same moment, most to be refused again. Cause: the delay followed from the queue alone, the same for all. Measured: test_refused_calls_come_back_when_the_rate_allows_it, extended; 30 calls refused at once at 10 a second come back over more than 0.8 of the time that the rate needs. Conclusion: Retry-After follows rate and queue.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -4,6 +4,7 @@
 
 from papayabay_core.calls import LoadState
 from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.utils.clock import whole_ms
 from papayabay_daemon._internal.admission.codel import CoDel
 from papayabay_daemon._internal.admission.counters import AdmissionCounters
 from papayabay_daemon._internal.admission.dagor import Dagor
@@ -14,10 +15,7 @@
 from papayabay_daemon._internal.admission.overload import OverloadLog
 from papayabay_daemon._internal.admission.ranked import Ranked
 from papayabay_daemon._internal.admission.rate_limit import RateLimit
-from papayabay_daemon._internal.admission.retry_after import (
-    MAX_DELAY_MS,
-    RetryAfter,
-)
+from papayabay_daemon._internal.admission.retry_after import RetryAfter
 from papayabay_daemon._internal.admission.service_times import ServiceTimes
 from papayabay_daemon._internal.admission.slot_limit import (
     OVERLOAD_KINDS,
@@ -375,16 +373,10 @@
     def overload_error(self, call, now):
         retry_after_ms = self.retry_after.record_refusal(now)
         if retry_after_ms:
-            waiting = self.scheme.queue.size
-            retry_after_ms = max(retry_after_ms, self.rate_delay_ms(waiting, now))
+            delay_s = self.rate_limit.retry_delay(self.scheme.queue.size, now)
+            retry_after_ms = max(retry_after_ms, whole_ms(delay_s))
         return self.refusal_error(call, ErrorKind.OVERLOADED, retry_after_ms)
 
-    def rate_delay_ms(self, waiting, now):
-        """Return when the rate limit allows a call after those that wait."""
-        interval_s = self.rate_limit.call_interval()
-        delay_s = self.rate_limit.seconds_until_open(now) + waiting * interval_s
-        return int(min(delay_s * 1_000, MAX_DELAY_MS))
-
     def refusal_error(self, call, kind, retry_after_ms=0):
         self.counters.refused[call.importance, kind] += 1
         return CallError(kind, retry_after_ms=retry_after_ms)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/rate_limit.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/rate_limit.py
@@ -4,7 +4,10 @@
 
 import logbook
 
-from papayabay_daemon._internal.accounts.buckets import TokenBucket
+from papayabay_daemon._internal.accounts.buckets import (
+    MAX_RETRY_SECONDS,
+    TokenBucket,
+)
 
 BURST_SECONDS = 0.25
 """Time of the rate that may be used at once, in addition to one call."""
@@ -112,6 +115,23 @@
         self.bucket.refill(now)
         return max(0.0, 1.0 - self.bucket.tokens) / self.rate
 
+    def retry_delay(self, waiting, now):
+        """Return the seconds after which a refused call should come back.
+
+        Calls that are refused together are spread over the rate.
+
+        Parameters
+        ----------
+        waiting : int
+            Calls that are queued before it.
+        now : float
+        """
+        if self.bucket is None:
+            return 0.0
+        self.bucket.refill(now)
+        delay = self.bucket.next_retry_delay(now) + waiting * self.call_interval()
+        return min(delay, MAX_RETRY_SECONDS)
+
     def call_interval(self):
         """Return the mean seconds between two calls; 0 without a limit."""
         return 0.0 if self.rate is None else 1.0 / self.rate
--- a/tests/unit/daemon/test_rate_limit.py
+++ b/tests/unit/daemon/test_rate_limit.py
@@ -155,7 +155,7 @@
 
     @in_virtual_time
     async def test_refused_calls_come_back_when_the_rate_allows_it(self, clock):
-        """Refused callers came back before the target could take them."""
+        """Refused callers came back together, or before there was room."""
         control = make_control(clock, slots=SLOTS)
         await train(control, clock, SERVICE_S)
         control.record_report(TargetReport(0.5), clock())
@@ -164,6 +164,11 @@
             await control.admit(made)
         self.assertIs(caught.exception.kind, ErrorKind.OVERLOADED)
         self.assertGreaterEqual(caught.exception.retry_after_ms, 1_500)
+        control.record_report(TargetReport(10.0), clock())
+        target = Target(clock, control, 10.0)
+        await asyncio.gather(*(target.call(lifetime=0.4) for _ in range(30)))
+        times = sorted(error.retry_after_ms for error in target.refused)
+        self.assertGreater(times[-1], 100 * 0.8 * len(times))
 
     @in_virtual_time
     async def test_limited_target_announces_the_slots_that_it_can_use(self, clock):
