Poll the store also while this daemon is isolated

What callers saw: a stale version at a daemon that reaches the store, but no peer, on a store that is polled. Cause: the class of one-way contact elsewhere: the reader of a polled store asked only whether it was selected. Change: it polls whenever it has to read, as the reader of a store that reports changes does. Measured: test_isolated_daemon_polls_the_store_itself failed before (no poll). Conclusion: both readers go by the same condition.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/store.py
@@ -51,10 +51,10 @@
                 self.state.confirm(asked_at)
 
     async def run(self):
-        """Poll the head while this daemon is a reader of its domain."""
+        """Poll the head while this daemon has to read the store."""
         while True:
             await asyncio.sleep(self.poll_interval * self.random.uniform(0.9, 1.1))
-            if self.readers.is_reader():
+            if self.readers.must_read():
                 await self.read()
             else:
                 self.readers.expire_loss()
--- a/tests/unit/daemon/test_version_watching.py
+++ b/tests/unit/daemon/test_version_watching.py
@@ -13,6 +13,7 @@
     Readers,
 )
 from papayabay_daemon._internal.configuration.state import ConfigurationState
+from papayabay_daemon._internal.configuration.store import StoreReader
 from papayabay_daemon._internal.configuration.watching import VersionWatcher
 from papayabay_daemon._internal.interfaces import Member
 from tests.lib.cluster_fakes import make_settings
@@ -210,3 +211,21 @@
             async with asyncio.timeout(5):
                 self.assertFalse(await request)
         self.assertTrue(watcher.outage.active)
+
+    async def test_isolated_daemon_polls_the_store_itself(self):
+        """A partitioned daemon relied on readers also with a polled store."""
+        readers = self.readers_of("d1")
+        member = next(m for m in self.live if m.name not in readers)
+        selected = self.watcher(member).readers
+        state = ConfigurationState(self.members, lambda: 0.0)
+        settings = make_settings(member.name)
+        polled = mock.AsyncMock(**{"head.return_value": 0})
+        reader = StoreReader(settings, state, polled, selected, random.Random(1))
+        for contact_age, polls in ((0.0, 0), (1.6 * PERIOD_SECONDS, 1)):
+            self.members.contact_age = contact_age
+            with (
+                mock.patch("asyncio.sleep", side_effect=[None, EndOfTest]),
+                self.assertRaises(EndOfTest),
+            ):
+                await reader.run()
+            self.assertEqual(polled.head.await_count, polls)
