--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -249,9 +249,7 @@
         )
         self.members.on_contact(self.links.dialler.end_backoff)
         self.versions = []
-        self.configuration.on_change(
-            lambda policy: self.versions.append(policy.version)
-        )
+        self.configuration.on_change(self.record)
         self.task = asyncio.ensure_future(self.run())
 
     def record(self, policy):
