--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/check.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/check.py
@@ -103,7 +103,7 @@
 
     For a `surge`, an empty name means all loads.
     """
-    if fault.kind in ("slow", "lie", "shed"):
+    if fault.kind in ("slow", "lie", "shed", "limit"):
         return set(scenario.services)
     if fault.kind == "surge":
         return {"", *scenario.loads}
--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/faults.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/faults.py
@@ -66,6 +66,11 @@
         above = fault.value if on else None
         await self.fleet.control_service(fault.subject, shed_above=above)
 
+    async def switch_limit(self, fault, on):
+        """Make the targets of a service name a rate limit in all answers."""
+        rate = fault.value if on else None
+        await self.fleet.control_service(fault.subject, rate_limit=rate)
+
     async def switch_freeze(self, fault, on):
         """Make a target accept calls without working on them."""
         await self.fleet.control(fault.subject, frozen=on)
--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/measures.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/measures.py
@@ -16,6 +16,7 @@
     latency_histogram,
     percentile_ms,
 )
+from papayabay_bench.measures.overrun import overrun
 from papayabay_bench.measures.recovery import time_back
 from papayabay_bench.measures.waste import wasted_share
 from papayabay_bench.measures.windows import Window
@@ -189,6 +190,28 @@
     return percentile([request.lateness_ms for request in due], 99)
 
 
+def overrun_of_limits(run_data, importance, window):
+    """Return the most calls of a target beyond the limit that it named.
+
+    The first second of each limit is left out, in which an answer has to
+    tell of it.
+    """
+    starts_at = run_data.windows["whole"].begins
+    limits = [one for one in run_data.scenario.faults if one.kind == "limit"]
+    excesses = [
+        overrun(
+            [one for one in run_data.executions if one.service == limit.subject],
+            limit.value,
+            Window(
+                starts_at + limit.start_seconds + WARM_UP_SECONDS,
+                starts_at + limit.end_seconds,
+            ),
+        )
+        for limit in limits
+    ]
+    return max(excesses, default=None)
+
+
 def latency(percent):
     """Return a function that computes a latency percentile.
 
@@ -230,6 +253,7 @@
     "doubled": Measure(doubled),
     "lost": Measure(lost),
     "denied": Measure(denied),
+    "overrun": Measure(overrun_of_limits),
     "refused": Measure(refused, "before"),
     "crossed": Measure(crossed),
     "unsent": Measure(unsent),
--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/reader.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/reader.py
@@ -289,6 +289,7 @@
     "lose": lambda number: (f"domain-{number}", "domain"),
     "lie": lambda service, load: (service, load),
     "shed": lambda service, above: (service, above),
+    "limit": lambda service, rate: (service, rate),
     "store": lambda mode: ("store", str(mode)),
     "store_slow": lambda seconds: ("store", milliseconds(seconds)),
     "store_loses": lambda share: ("store", share),
--- a/packages/papayabay-bench/src/papayabay_bench/targets/faults.py
+++ b/packages/papayabay-bench/src/papayabay_bench/targets/faults.py
@@ -18,6 +18,9 @@
         Calls inside above which a new one gets the shed status, not run.
     reported_load : float or None
         What the load endpoint says in place of the truth.
+    rate_limit : float or None
+        Calls a second that it names as its limit in all answers; it takes
+        more all the same.
     dead : bool
         Listener closed and connections dropped.
     frozen : bool
@@ -29,6 +32,7 @@
     slow: Annotated[float, Field(gt=0.0, le=10_000.0)] = 1.0
     shed_above: Annotated[int, Field(ge=0)] | None = None
     reported_load: Annotated[float, Field(ge=0.0)] | None = None
+    rate_limit: Annotated[float, Field(ge=0.0)] | None = None
     dead: bool = False
     frozen: bool = False
     draining: bool = False
--- a/packages/papayabay-bench/src/papayabay_bench/targets/server.py
+++ b/packages/papayabay-bench/src/papayabay_bench/targets/server.py
@@ -27,6 +27,7 @@
 HOST = "127.0.0.1"
 LOAD_PATH = "/.bench/load"
 FAILED_HEADER = "Bench-Failed"
+RATE_LIMIT_HEADER = "Papayabay-Rate-Limit"
 CANCELLED_STATUS = 499
 PASSED_STATUSES = (503, 504)
 
@@ -148,7 +149,14 @@
         }
 
     async def handle(self, request):
-        """Answer one HTTP request."""
+        """Answer one HTTP request, and name the rate limit if there is one."""
+        response = await self.respond(request)
+        if self.faults.rate_limit is not None:
+            response.headers[RATE_LIMIT_HEADER] = f"{self.faults.rate_limit:f}"
+        return response
+
+    async def respond(self, request):
+        """Return the response to one HTTP request."""
         if request.path.startswith(self.cancel_prefix):
             return self.cancel(request)
         if request.path == LOAD_PATH:
--- a/tests/unit/bench/test_measures.py
+++ b/tests/unit/bench/test_measures.py
@@ -10,6 +10,7 @@
     lost_effects,
 )
 from papayabay_bench.measures.goodput import goodput, goodput_by_class
+from papayabay_bench.measures.overrun import overrun
 from papayabay_bench.measures.recovery import time_back
 from papayabay_bench.measures.refusals import attempts_by_kind, refused_by_class
 from papayabay_bench.measures.retries import largest_retries, retries_by_request
@@ -111,6 +112,20 @@
         self.assertEqual(largest_retries([request(attempts=2)], executions), 1)
 
 
+class OverrunTests(unittest.TestCase):
+    def test_most_calls_of_one_target_beyond_its_limit(self):
+        """Calls of several targets were added up, or windows did not slide."""
+        calls = [execution(busy_ms=0.0) for _ in range(40)]
+        for number, one in enumerate(calls):
+            one.time = 10.0 + number * 0.25
+        window = Window(0.0, 100.0)
+        self.assertEqual(overrun(calls, 1.0, window), 16 - 11)
+        for one in calls[::2]:
+            one.target = "other"
+        self.assertEqual(overrun(calls, 1.0, window), 8 - 11)
+        self.assertEqual(overrun(calls, 1.0, Window(0.0, 1.0)), -11)
+
+
 class EffectTests(unittest.TestCase):
     def test_doubled(self):
         effects = [effect("k"), effect("k"), effect("l"), effect("k", service="z")]
