Let more members read where more have lost the store

What callers saw: nothing yet; found when ways were compared. Cause: members that read in place of readers failed in pairs one after another, and each load takes a second to fail: with 62 daemons of which the store answers one, a version came 10 s late where 7 s are the bound. Change: as many members read in addition as the store is known not to answer, 8 of a failure domain at most. Measured: test_one_daemon_that_the_store_answers_is_found_in_time failed before and passes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -19,6 +19,9 @@
 in place of a reader. It grows with the failure domain, so that an outage of
 the store causes few reads of each domain at any size."""
 RETRY_SECONDS_PER_MEMBER = 0.5
+MAX_SUBSTITUTES = 8
+"""Members of a failure domain that read at once in place of its readers. It
+keeps the reads in an outage far below the rate that the store accepts."""
 FULL_WAIT_READERS = 6
 """Readers of the fleet from which each waits for changes as long as the store
 allows. Fewer wait shorter, so that one of them gets an answer, or misses it,
@@ -85,8 +88,8 @@
         """Select the readers of the own domain, and log a change of role."""
         regular = self.pick(self.live)
         substitutes = []
-        if any(self.has_lost_store(member) for member in regular):
-            substitutes = self.pick(filterfalse(self.has_lost_store, self.live))
+        if any(map(self.has_lost_store, regular)):
+            substitutes = self.pick_substitutes()
         self.picked = regular + [one for one in substitutes if one not in regular]
         local = self.members.local
         is_substitute = local in substitutes and local not in regular
@@ -94,6 +97,17 @@
             self.is_substitute = is_substitute
             self.log_role([member.name for member in regular])
 
+    def pick_substitutes(self):
+        """Return the members that read in addition to the regular readers.
+
+        Their number grows with that of the members that the store is known
+        not to answer, as each attempt may take a second to fail.
+        """
+        members = self.domain_members(self.live)
+        served = list(filterfalse(self.has_lost_store, members))
+        wanted = max(self.count, min(len(members) - len(served), MAX_SUBSTITUTES))
+        return pick_by_rendezvous(served, PURPOSE, wanted)
+
     def log_role(self, regular):
         """Log that this daemon begins or ends to read for others."""
         if self.is_substitute:
--- a/tests/unit/daemon/test_configuration_fleet.py
+++ b/tests/unit/daemon/test_configuration_fleet.py
@@ -88,6 +88,17 @@
         for size, domains in ((4, 2), (15, 3), (16, 4)):
             self.assert_in_time(play(scenario, size, domains))
 
+    def test_one_daemon_that_the_store_answers_is_found_in_time(self):
+        """Pairs of substitutes failed one after another, a second each."""
+
+        async def scenario(fleet):
+            fleet.change()
+            await asyncio.sleep(1.0)
+            away = fleet.turn_away(fleet.names[:-1], 30.0, SILENT)
+            await asyncio.gather(away, change_often(fleet, 24.0, 3.0))
+
+        self.assert_in_time(play(scenario, 62))
+
     def test_daemon_that_restarts_without_the_store_is_told_of_members(self):
         """A daemon that restarted without the store knew nobody for seconds.
 
