Split the simulated fleet's network from its daemons

Change: tests/unit/daemon/configuration_network.py takes the transport, links, dialler, table and watch; no check changes. The class of the readers says what substitutes are.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -33,8 +33,9 @@
     """Selects the readers among the live members.
 
     Readers that the store turns away, while it may serve others, stay readers
-    and keep trying; as many other members read in addition. Two daemons may
-    differ in their selection for a while; an additional reader does no harm.
+    and keep trying; other members, the substitutes, read in addition. Two
+    daemons may differ in their selection for a while; an additional reader
+    does no harm.
 
     Parameters
     ----------
--- a/tests/unit/daemon/test_configuration_fleet.py
+++ b/tests/unit/daemon/test_configuration_fleet.py
@@ -4,13 +4,12 @@
 import unittest
 
 from tests.unit.daemon.configuration_fleet import (
-    BUSY,
     CONTACT_S,
-    SILENT,
     change_often,
     play,
     random_faults,
 )
+from tests.unit.daemon.configuration_network import BUSY, SILENT
 
 SEEDS = range(12)
 
