Drop the offer of a peer that has gone back to an older version

What callers saw: nothing yet; found on reading the change. Cause: offers now stay until the version is held, and an answer without a newer version counts as a success if the peer says it has none; the offer from before its restart stayed, and it was asked again at once, without end. Change: a peer's own answer replaces what it offered before. Measured: test_offer_of_a_peer_that_has_gone_back_is_dropped failed before.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/offers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/offers.py
@@ -98,6 +98,15 @@
             offer.version = version
         self.changed.set()
 
+    def record_answer(self, version, name):
+        """Record the version that a peer has, by its own answer.
+
+        It may be lower than what it offered before, after a restart.
+        """
+        offer = self.by_peer.get(name)
+        if offer is not None:
+            offer.version = version
+
     def record_contact(self, name):
         """End the backoff of a peer that answers again."""
         offer = self.by_peer.get(name)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
@@ -127,6 +127,7 @@
             if isinstance(error.__context__, UpgradeNeeded):
                 return self.record_undecodable(peer, error)
             return self.record_unreachable(peer, error)
+        self.offers.record_answer(offer.version, peer.name)
         if offer.version > self.state.version.latest.version:
             self.note_offer(offer.version, peer.name)
         if self.state.version.latest.version >= min(offer.version, previous + 1):
--- a/tests/unit/daemon/test_spread_cluster.py
+++ b/tests/unit/daemon/test_spread_cluster.py
@@ -246,6 +246,22 @@
         self.network.handlers["a"]["config-tail"] = claim
         self.assertFalse(await other.configuration.puller.pull(node.members.local))
 
+    async def test_offer_of_a_peer_that_has_gone_back_is_dropped(self):
+        """A peer that restarted with an older version was asked without end.
+
+        Its offer from before stayed, and its answer counted as a success.
+        """
+        node, other = Node(self, "a", "d1"), Node(self, "b", "d1")
+        await self.commit(0)
+        await self.commit(1)
+        await other.configuration.load_first()
+        other.members.table.add(update_of(node.members.local))
+        other.configuration.puller.note_offer(9, "a")
+        self.assertTrue(await other.configuration.puller.pull(node.members.local))
+        offers = other.configuration.puller.offers
+        self.assertIsNone(offers.next_peer(()))
+        self.assertEqual(len(offers), 0)
+
     async def test_lagging_peer_gets_the_full_version(self):
         node, other = Node(self, "a", "d1"), Node(self, "b", "d1")
         for base in range(2):
