Read load reports with more than three figures

Cause: the adapter read exactly three figures. Upstreams that add a fourth one, how long work takes on their host, had no readable report: no health answer announced them, and each rejection with slots free counted as a full upstream and lowered the limit on concurrent calls. Change: the first three figures are read whatever follows. A fourth one from 10 to 10,000 percent becomes the report's slowdown; any other is ignored. An unreadable rate limit no longer hides the rest of a report.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -129,7 +129,8 @@
             When the answered call was sent.
         """
         now = self.clock()
-        self.rate_limit.record_report(report.rate_per_s, sent_at, now)
+        if report.rate_is_known:
+            self.rate_limit.record_report(report.rate_per_s, sent_at, now)
         if self.scheme.queue.size:
             self.dispatch(now)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -58,10 +58,18 @@
         None without a limit.
     leaving : bool
         Whether the target is leaving, whatever it announces.
+    slowdown : float or None
+        How many times longer than usual work takes on the target's host at
+        the moment; None if the target does not state it.
+    rate_is_known : bool
+        Whether `rate_per_s` holds. Otherwise the answer has a rate limit that
+        can't be read, and the one in effect stays.
     """
 
     rate_per_s: float | None = None
     leaving: bool = False
+    slowdown: float | None = None
+    rate_is_known: bool = True
 
 
 class TargetDialect(Protocol):
@@ -141,7 +149,7 @@
 
     def report(self, fields):
         """Return the rate limit that an answer states."""
-        return rate_report(fields.get(RATE_LIMIT_FIELD))
+        return target_report(fields.get(RATE_LIMIT_FIELD))
 
     def announcement_from_health(self, target, status, fields):
         """Return None: these targets always announce themselves."""
@@ -215,20 +223,23 @@
     return float(match[1]) if match else None
 
 
-def rate_report(content, leaving=False):
-    """Return the report of a rate limit field; None if it is malformed.
+def target_report(rate=None, leaving=False, slowdown=None):
+    """Return the report of an answer; None if it states nothing readable.
 
     Parameters
     ----------
-    content : bytes or None
+    rate : bytes or None
         Calls per second as a decimal number; None without a limit.
     leaving : bool
+    slowdown : float or None
     """
-    if content is None:
-        return TargetReport(leaving=leaving)
-    if not RATE_PATTERN.fullmatch(content):
-        return TargetReport(leaving=True) if leaving else None
-    return TargetReport(float(content), leaving)
+    if rate is None:
+        return TargetReport(None, leaving, slowdown)
+    if RATE_PATTERN.fullmatch(rate):
+        return TargetReport(float(rate), leaving, slowdown)
+    if leaving or slowdown is not None:
+        return TargetReport(None, leaving, slowdown, rate_is_known=False)
+    return None
 
 
 def is_refused_below(status, fields):
--- a/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
@@ -25,9 +25,9 @@
     account_line,
     encode_head,
     keep_alive_seconds,
-    rate_report,
     remaining_ms,
     retry_after_ms,
+    target_report,
 )
 
 __all__ = [
@@ -48,8 +48,8 @@
     "encode_head",
     "json_answer",
     "keep_alive_seconds",
-    "rate_report",
     "read_message",
     "remaining_ms",
     "retry_after_ms",
+    "target_report",
 ]
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -10,7 +10,7 @@
 from papayabay_daemon._internal.target import HttpTargetClient
 from papayabay_daemon._internal.target.dialect import TargetReport
 from papayabay_daemon.adapters import Announcement, Verdict
-from papayabay_platform.target_dialect import PlatformTargetDialect
+from papayabay_platform.target_dialect import PlatformTargetDialect, load_of
 from tests.unit.daemon.door_fakes import call, settings
 from tests.unit.daemon.test_target_client import ClientTestCase
 
@@ -57,6 +57,16 @@
                 (not_run, (b"X-Papayabay-Upstream-Load", b"3,0,8")),
                 Verdict.REJECTED,
             ),
+            (
+                503,
+                (not_run, (b"X-Papayabay-Upstream-Load", b"3,0,8,250")),
+                Verdict.REJECTED,
+            ),
+            (
+                503,
+                (not_run, (b"X-Papayabay-Upstream-Load", b"8,0,8,250")),
+                Verdict.SHED,
+            ),
             (429, (OWN, not_run), Verdict.SHED),
             (421, (), Verdict.REPLACED),
         ):
@@ -78,6 +88,38 @@
             self.assertIsNone(report, content)
         self.assertIsNone(PlatformTargetDialect().report({}).rate_per_s)
 
+    def test_load_reports_with_any_number_of_figures_are_read(self):
+        """A figure more than three made the whole report unreadable."""
+        for content, slowdown in (
+            (b"3,0,8", None),
+            (b"3,0,8,100", 1.0),
+            (b"3,0,8,250", 2.5),
+            (b"3,0,8,250,7,odd", 2.5),
+            (b"3,0,8,", None),
+            (b"3,0,8,0", None),
+            (b"3,0,8,99999", None),
+            (b"3,0,8,123456789012", None),
+            (b"3,0,8,nan", None),
+            (b"3,0,8,-100", None),
+            (b"3,0,8,1e3", None),
+        ):
+            with self.subTest(content=content):
+                fields = {b"x-papayabay-upstream-load": content}
+                load = load_of(fields)
+                self.assertEqual((load.running, load.waiting, load.slots), (3, 0, 8))
+                self.assertEqual(load.slowdown, slowdown)
+                report = PlatformTargetDialect().report(fields)
+                self.assertEqual(report.slowdown, slowdown)
+        for content in (b"", b"3,0", b"a,0,8,100", b"3,,8,100", b"3;0;8;100"):
+            self.assertIsNone(load_of({b"x-papayabay-upstream-load": content}))
+
+    def test_slowdown_is_read_beside_an_unreadable_rate_limit(self):
+        """An unreadable rate limit hid everything else that was reported."""
+        report = PlatformTargetDialect().report(
+            {b"server-limit": b"odd", b"x-papayabay-upstream-load": b"3,0,8,250"}
+        )
+        self.assertEqual((report.slowdown, report.rate_is_known), (2.5, False))
+
     def test_healthy_upstream_is_announced(self):
         target = TargetSettings(service="svc", host="10.0.0.1", port=80)
         instance = (b"X-Papayabay-Upstream-Instance", b"i-7")
@@ -90,6 +132,9 @@
 
         found = announcement_from_health(target, 200, (instance, load))
         self.assertEqual((found.incarnation, found.slots), ("i-7", 8))
+        four = (b"X-Papayabay-Upstream-Load", b"3,0,8,250")
+        found = announcement_from_health(target, 200, (instance, four))
+        self.assertEqual((found.incarnation, found.slots), ("i-7", 8))
         self.assertIsNone(announcement_from_health(target, 503, (instance, load)))
         self.assertIsNone(announcement_from_health(target, 200, (instance,)))
         self.assertIsNone(announcement_from_health(target, 200, (load,)))
