Add the fields and policy keys of the new parts

Cause: the parts are built side by side and need the same interfaces. Change: fields of calls and load states with their places in the frames, policy keys with their defaults, scaled ranks. Nothing reads them yet.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -78,6 +78,12 @@
     key_digest : str
         Digest of the key that authenticated the request; empty without one.
         Known to the entry daemon only, not sent over links.
+    due_at : float or None
+        Time, on `clock.now()` of this machine, at which the answer is needed
+        for the whole request to be in time; None if nothing sets it.
+    path_class : int
+        Importance class of the entry path, which orders calls of requests
+        whose accounts give them the same class.
     """
 
     request_id: str
@@ -99,6 +105,8 @@
     declared_class: Importance | None = None
     account: str = ""
     key_digest: str = ""
+    due_at: float | None = None
+    path_class: int = 0
 
     @property
     def policy_class(self):
@@ -124,6 +132,8 @@
 """Lowest HTTP status that reports a failure of the server."""
 MAX_PATH_LEVELS = 16
 """Most call paths in `LoadState.path_levels`; the lowest levels are kept."""
+MAX_WORK_SERVICES = 8
+"""Most services in `LoadState.work_ms`; the largest amounts are kept."""
 
 
 @dataclass(slots=True)
@@ -147,6 +157,11 @@
     path_levels : dict of str to int
         For call paths on which downstream services refuse some calls, the
         highest level that they admit, by path key; see `MAX_PATH_LEVELS`.
+    work_ms : dict of str to float
+        Slot time, in milliseconds, that one run of the answered call's path
+        takes of each scarce service, by service; see `MAX_WORK_SERVICES`.
+    slowdown : float
+        How many times longer than usual work takes on the target's host.
     """
 
     in_flight: int = 0
@@ -156,6 +171,8 @@
     service_ms: float = 0.0
     admit_level: int = ADMIT_ALL
     path_levels: dict[str, int] = field(default_factory=dict)
+    work_ms: dict[str, float] = field(default_factory=dict)
+    slowdown: float = 1.0
 
 
 @dataclass(slots=True)
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -40,6 +40,10 @@
     retry_after: bool = True
     quarantine: bool = True
     account_limits: Literal["keepers", "parts"] = "keepers"
+    account_shares: Literal["none", "max-min"] = "none"
+    equals: Literal["rank", "work"] = "rank"
+    queue_order: Literal["depth", "due"] = "depth"
+    return_times: Literal["jitter", "backlog"] = "jitter"
 
 
 class Admission(Strict, frozen=True, kw_only=True):
@@ -50,6 +54,7 @@
     static_limit: Annotated[int, Meta(ge=1, le=100_000)] | None = None
     cold_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.1
     overload_hold_ms: Milliseconds = 200
+    repeat_limit: bool = False
 
 
 class Retries(Strict, frozen=True, kw_only=True):
@@ -68,6 +73,8 @@
     prefer_own_domain: bool = True
     own_domain_usage: Share = 0.0
     max_ejected_share: Share = 0.34
+    score: Literal["usage", "completion"] = "usage"
+    balance: Literal["usage", "demand"] = "usage"
 
 
 class Objective(Strict, frozen=True, kw_only=True):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -1,5 +1,7 @@
 """Ranks: the order in which requests of one class are refused."""
 
+import math
+
 import xxhash
 
 from papayabay_core.importance import RANK_BITS, RANKS, Importance
@@ -57,6 +59,21 @@
     return (importance * RANKS + rank) // len(Importance)
 
 
+def scaled_rank(rank, *factors):
+    """Return a rank multiplied by factors, at most the last rank.
+
+    Requests with smaller factors get better ranks, and are refused later.
+
+    Parameters
+    ----------
+    rank : int
+    factors : float
+        Each at least 0; 1 changes nothing.
+    """
+    scaled = math.prod(factors, start=float(rank))
+    return min(int(scaled), RANKS - 1)
+
+
 def per_hop_rank(random):
     """Return a random rank; the baseline where hops refuse independently."""
     return int(random.random() * RANKS)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -15,7 +15,14 @@
 import msgspec
 from msgspec import Meta
 
-from papayabay_core.calls import MAX_PATH_LEVELS, Answer, Body, Call, LoadState
+from papayabay_core.calls import (
+    MAX_PATH_LEVELS,
+    MAX_WORK_SERVICES,
+    Answer,
+    Body,
+    Call,
+    LoadState,
+)
 from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_core.exceptions import ProtocolError
 from papayabay_core.importance import Importance
@@ -23,6 +30,7 @@
 
 SEPARATOR = "\0"
 MAX_REMAINING_MS = 2**32 - 1
+MAX_DUE_MS = 2**31 - 1
 FIRST_ARRAY_BYTE = 0x90
 """The first byte of a MessagePack array is this or greater. A Cap'n Proto
 message starts with its number of segments, which is small in a frame."""
@@ -59,6 +67,10 @@
         differs from `importance`.
     account : str
         Name of the client account; empty without one.
+    due_ms : int or None
+        Time until the call is due when the frame was sent; negative if past.
+    order : int
+        Importance class of the entry path; see `Call.path_class`.
     """
 
     id: Identifier
@@ -82,6 +94,8 @@
     purpose: int
     declared: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] | None = None
     account: str = ""
+    due_ms: Annotated[int, Meta(ge=-(2**31), le=2**31 - 1)] | None = None
+    order: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] = 0
 
 
 class LoadFrame(msgspec.Struct, array_like=True):
@@ -94,6 +108,8 @@
     service_ms: float
     admit_level: int
     closed: dict[str, int]
+    work_ms: dict[str, float] = {}
+    slowdown: float = 1.0
 
 
 class AnswerFrame(msgspec.Struct, array_like=True, tag=2):
@@ -224,6 +240,8 @@
         purpose=purpose,
         declared=None if call.declared_class is None else int(call.declared_class),
         account=call.account,
+        due_ms=None if call.due_at is None else due_ms(call.due_at),
+        order=call.path_class,
     )
     try:
         return encode(frame)
@@ -245,6 +263,9 @@
     ------
     ProtocolError
     """
+    due_at = None
+    if frame.due_ms is not None:
+        due_at = now() + frame.due_ms / 1_000 - excess
     return Call(
         request_id=frame.request_id,
         service=frame.service,
@@ -263,9 +284,17 @@
         repeated=frame.repeated,
         declared_class=None if frame.declared is None else IMPORTANCES[frame.declared],
         account=frame.account,
+        due_at=due_at,
+        path_class=frame.order,
     )
 
 
+def due_ms(due_at):
+    """Return the milliseconds until a due time, within the frame's range."""
+    remaining_ms = int((due_at - now()) * 1_000)
+    return min(max(remaining_ms, -MAX_DUE_MS), MAX_DUE_MS)
+
+
 def encode_answer(number, answer, first, last, confirmation=None):
     """Return an answer's frame.
 
@@ -308,6 +337,8 @@
         load.service_ms,
         load.admit_level,
         load.path_levels,
+        load.work_ms,
+        load.slowdown,
     )
 
 
@@ -315,6 +346,8 @@
     """Return the load state of a frame; raises `ProtocolError`."""
     if len(frame.closed) > MAX_PATH_LEVELS:
         raise ProtocolError(f"{len(frame.closed)} closed paths")
+    if len(frame.work_ms) > MAX_WORK_SERVICES:
+        raise ProtocolError(f"work of {len(frame.work_ms)} services")
     return LoadState(
         in_flight=frame.in_flight,
         queued=frame.queued,
@@ -323,6 +356,8 @@
         service_ms=frame.service_ms,
         admit_level=frame.admit_level,
         path_levels=frame.closed,
+        work_ms=frame.work_ms,
+        slowdown=frame.slowdown,
     )
 
 
