Report the work that a path takes of scarce services

Cause: an entry can't prefer requests that take less of a scarce service, as it does not know what the calls far below it take.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -77,6 +77,7 @@
         self.rate_limit = RateLimit(inputs)
         self.retry_after = RetryAfter(inputs)
         self.downstream = DownstreamLevels()
+        self.work_source = no_work
         self.slot_use = SlotUse()
         self.overload = OverloadLog(self.read_clock)
         self.scheme_name = scheme
@@ -109,14 +110,17 @@
     def load(self, path_key):
         """Return the load state that answers of a call path carry."""
         now = self.clock()
+        level = self.scheme.level(now)
+        service_ms = self.times.mean(path_key) * 1_000
         return LoadState(
             in_flight=self.in_flight,
             queued=self.scheme.queue.size,
             limit=self.scheme.limit(now),
             queue_ms=self.mean_queue_s * 1_000,
-            service_ms=self.times.mean(path_key) * 1_000,
-            admit_level=self.scheme.level(now),
+            service_ms=service_ms,
+            admit_level=level,
             path_levels=self.downstream.closed(now),
+            work_ms=self.work_source(path_key, service_ms, level, now),
         )
 
     def record_report(self, report, sent_at):
@@ -166,6 +170,13 @@
         """
         self.downstream.source = source
 
+    def set_work_source(self, source):
+        """Set the callable that returns the work of a path.
+
+        See `calls.work.WorkModel.work_ms`.
+        """
+        self.work_source = source
+
     def reconfigure(self, inputs, scheme=None):
         """Apply a changed policy, announcement or scheme.
 
@@ -387,6 +398,11 @@
             self.expiries.arm(now)
 
 
+def no_work(path_key, service_ms, level, now):
+    """Return no work: nothing is scarce."""
+    return {}
+
+
 def make_scheme(name, control):
     """Return a new scheme; raise `ValueError` if its name is unknown."""
     scheme = SCHEMES.get(name)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -359,7 +359,7 @@
         """Run a call that this daemon's target makes for a live call."""
         self.components.counters.outgoing += 1
         call = self.child_call(incoming, rule, live.call)
-        live.called_paths.add(rule.path_key)
+        live.count_call(rule.path_key)
         answer = await answer_or_error(
             self.tree.run_while_live(live, self.run(call, rule, live.account))
         )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -14,6 +14,12 @@
     tree : CallTree
     chains : ChainModel
     budget : ArrivalBudget
+
+    Attributes
+    ----------
+    run_listeners : list of callable
+        Called with the live call and its answer after each run that the
+        target has answered.
     """
 
     def __init__(self, components, tree, chains, budget):
@@ -21,6 +27,7 @@
         self.budget = budget
         self.tree = tree
         self.chains = chains
+        self.run_listeners = []
 
     async def receive(self, call, peer):
         """Run a call on the target and return its answer.
@@ -146,3 +153,5 @@
         ticket.finish(answer)
         if not cut_off:
             self.chains.note(live.call.path_key, live.called_paths)
+            for listener in self.run_listeners:
+                listener(live, answer)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -29,8 +29,8 @@
         Charges the account for outgoing calls that the target repeats.
     child_tasks : set of asyncio.Task
         Tasks of its outgoing calls in flight.
-    called_paths : set of str
-        Path keys of its outgoing calls.
+    called_paths : dict of str to int
+        Number of its outgoing calls by path key.
     downstream_failed : bool
         Whether one of its outgoing calls has failed.
     is_cut_off : bool
@@ -41,10 +41,14 @@
     account: CreditAccount
     retry_detector: RetryDetector
     child_tasks: set[asyncio.Task] = field(default_factory=set)
-    called_paths: set[str] = field(default_factory=set)
+    called_paths: dict[str, int] = field(default_factory=dict)
     downstream_failed: bool = False
     is_cut_off: bool = False
 
+    def count_call(self, path_key):
+        """Count an outgoing call to a path."""
+        self.called_paths[path_key] = self.called_paths.get(path_key, 0) + 1
+
 
 class CallTree:
     """Live calls by the token that was sent to the target.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -189,6 +189,18 @@
     def path_level(self, service: str, path_key: str) -> int:
         """Return the estimated admission level of a service as a whole."""
 
+    def path_work(self, service: str, path_key: str) -> float:
+        """Return the slot milliseconds that a run takes of scarce services.
+
+        It is 0.0 if that is unknown, or if the path takes nothing of them.
+        """
+
+    def path_services(self, service: str, path_key: str) -> dict[str, float]:
+        """Return the slot milliseconds of a run by scarce service.
+
+        The result is not to be changed.
+        """
+
     def explain(self, member: Member, call: Call) -> dict:
         """Return what is known of an upstream, for the decision log."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
@@ -6,6 +6,7 @@
 from papayabay_core.errors import ErrorKind
 from papayabay_daemon._internal.routing.ejection import FAILURE_POINTS, may_eject
 from papayabay_daemon._internal.routing.hints import AdmissionHints
+from papayabay_daemon._internal.routing.path_work import PathWork
 from papayabay_daemon._internal.routing.subset import choose_subset
 from papayabay_daemon._internal.routing.upstream import Upstream
 
@@ -35,6 +36,7 @@
         Average latency over all of them, seconds.
     turn : int
         Counts the calls of the round-robin strategy.
+    work : PathWork
     """
 
     __slots__ = (
@@ -49,11 +51,13 @@
         "states",
         "subset",
         "turn",
+        "work",
     )
 
     def __init__(self, ejections):
         self.ejections = ejections
         self.hints = AdmissionHints(weight=SERVICE_HINT_WEIGHT)
+        self.work = PathWork()
         self.source = None
         self.policy = None
         self.routing = None
@@ -127,6 +131,7 @@
         if answer.load is not None:
             state.update_load(answer.load, at)
             self.hints.update(answer.load, at)
+            self.work.update(path_key, answer.load.work_ms, at)
         if answer.kind is None:
             self.record_answer(state, answer, elapsed, at)
         elif answer.kind is ErrorKind.LEAVING:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -195,6 +195,16 @@
         ]
         return sum(levels) // len(levels) if levels else ADMIT_ALL
 
+    def path_work(self, service, path_key):
+        """Return the slot milliseconds that a run takes of scarce services."""
+        pool = self.pools.get(service)
+        return pool.work.total(path_key, self.clock()) if pool is not None else 0.0
+
+    def path_services(self, service, path_key):
+        """Return the slot milliseconds of a run by scarce service."""
+        pool = self.pools.get(service)
+        return pool.work.services(path_key, self.clock()) if pool is not None else {}
+
     def explain(self, member, call):
         """Return the state of a chosen upstream for the decision log."""
         pool = self.pools.get(call.service)
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -18,6 +18,7 @@
 from papayabay_daemon._internal.calls.pause import PauseDetector
 from papayabay_daemon._internal.calls.receive import Receiver
 from papayabay_daemon._internal.calls.tree import CallTree
+from papayabay_daemon._internal.calls.work import WorkModel
 from papayabay_daemon._internal.configuration import ConfigurationManager
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.doors import CallerDoor, StatusDoor
@@ -194,12 +195,15 @@
         self.call_tree = CallTree()
         chains = ChainModel(self.router)
         self.admission.set_downstream_source(chains.closed_paths)
+        self.work = WorkModel(self.router, self.policy)
+        self.admission.set_work_source(self.work.work_ms)
         self.arrival_budget = ArrivalBudget(
             self.policy, self.membership.known_upstream_count
         )
         receiver = Receiver(
             self.call_components, self.call_tree, chains, self.arrival_budget
         )
+        receiver.run_listeners.append(self.work.run_ended)
         dispatcher = Dispatcher(self.call_components, receiver, self.retry_rules)
         self.idempotency_gate = IdempotencyGate(
             self.settings,
