Count the slot time of runs, and what was lost of it

Cause: no metric shows how much of a target's time goes to requests that fail. Change: work.run_ms and work.lost_ms, by the class that the policy gives. Measured result: the unit test passes, and fails without the check for runs that were given up (status 499 is no server error). Conclusion: a run that was answered well counts as useful, also if a daemon nearer to the entry loses its request later; this daemon can't know.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -25,6 +25,7 @@
 from papayabay_daemon._internal.admission.static import Static
 from papayabay_daemon._internal.admission.ticket import SlotTicket
 from papayabay_daemon._internal.admission.waiting import WaitingCall
+from papayabay_daemon._internal.admission.work_counters import WorkCounters
 
 QUEUE_TIME_WEIGHT = 0.1
 """Weight of the latest call in the mean queueing time."""
@@ -72,6 +73,7 @@
         self.inputs = inputs
         self.clock = inputs.clock
         self.counters = AdmissionCounters()
+        self.work_counters = WorkCounters()
         self.times = ServiceTimes()
         self.slot_limit = SlotLimit(inputs)
         self.rate_limit = RateLimit(inputs)
@@ -252,6 +254,7 @@
         self.in_flight -= 1
         self.slot_use.set_in_flight(self.in_flight, now)
         self.counters.finished += 1
+        self.work_counters.record(ticket.call, elapsed, answer)
         self.times.record(ticket.call.path_key, elapsed, answer)
         if answer is not None and answer.kind in OVERLOAD_KINDS:
             self.slot_limit.decrease(self.in_flight + 1, now)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -24,6 +24,7 @@
     return {
         "calls": partial(asdict, daemon.call_components.counters),
         "admission": daemon.admission.counters.plain,
+        "work": daemon.admission.work_counters.plain,
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
         "retries": partial(dict, daemon.retry_rules.stops),
--- a/tests/unit/daemon/test_path_work.py
+++ b/tests/unit/daemon/test_path_work.py
@@ -1,16 +1,24 @@
 """Tests of the work that paths take of scarce services, hop by hop."""
 
+import asyncio
 import math
 import unittest
 from types import SimpleNamespace
 
 from papayabay_core.calls import Answer, LoadState
+from papayabay_core.errors import ErrorKind
 from papayabay_core.importance import ADMIT_ALL
 from papayabay_core.policy import Policy
 from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.calls import work
 from papayabay_daemon._internal.calls.work import WorkModel
 from papayabay_daemon._internal.routing import path_work
+from tests.unit.daemon.admission_support import (
+    SHED,
+    in_virtual_time,
+    make_call,
+    make_control,
+)
 from tests.unit.daemon.routing_support import RoutingCase, target_answer
 
 DESK = "desk/list"
@@ -141,3 +149,19 @@
         self.report(self.upstreams[0], {"a": math.nan, "b": -1.0, "c": 2.0})
         self.report(self.upstreams[0], {"a": math.inf, "c": 2.0})
         self.assertEqual(self.services(), {"c": 2.0})
+
+
+class WorkCounterTest(unittest.TestCase):
+    @in_virtual_time
+    async def test_lost_slot_time_is_counted_by_class(self, clock):
+        """Guards against work for lost requests that no metric shows."""
+        control = make_control(clock)
+        left = Answer(499, kind=ErrorKind.CALLER_LEFT)
+        for outcome in (Answer(200), SHED, None, left):
+            ticket = await control.admit(make_call(clock))
+            await asyncio.sleep(0.25)
+            ticket.finish(outcome)
+        counters = control.work_counters.plain()
+        self.assertEqual(counters["run_ms"]["normal"], 1_000)
+        self.assertEqual(counters["lost_ms"]["normal"], 750)
+        self.assertEqual(counters["run_ms"]["critical"], 0)
