Order equals by their work with decisions.equals = "work"

Cause: among requests of one class, a light one was refused as often as one that takes ten times as much of the scarce service. Change: the entry multiplies the rank by the path's work over the largest work of its class.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -19,7 +19,9 @@
     effective_priority,
     rank_in_account_class,
     rank_of,
+    scaled_rank,
 )
+from papayabay_daemon._internal.lifetime.work_order import WorkOrder
 from papayabay_daemon._internal.retries import CreditAccount
 
 UNLIMITED_LIFETIME_SECONDS = 600.0
@@ -62,6 +64,7 @@
         self.accounts = accounts
         self.objectives = objectives
         self.pause = pause
+        self.work_order = WorkOrder()
         self.draining = False
         self.in_flight = 0
         self.idle = asyncio.Event()
@@ -109,6 +112,7 @@
                 parent=incoming.call_token,
                 account=incoming.account,
                 took_ms=round(elapsed * 1_000, 1),
+                **self.work_fields(rule),
             )
         if not incoming.request_id:
             answer.headers = [*answer.headers, (REQUEST_HEADER, request_id)]
@@ -273,6 +277,8 @@
         declared = rule.importance if account.importance is None else account.importance
         rank = rank_of(incoming.idempotency_key or request_id)
         importance, rank = effective_priority(declared, rank, decisions.kept_share)
+        if decisions.equals == "work" and importance is declared:
+            rank = scaled_rank(rank, self.work_factor(rule))
         if account.importance is not None and importance is declared:
             rank = rank_in_account_class(rule.importance, rank)
         return Call(
@@ -296,6 +302,19 @@
             key_digest=identity.key_digest if identity else "",
         )
 
+    def work_factor(self, rule):
+        """Return the factor of a request's rank for the work of its path."""
+        path_key = rule.path_key
+        work_ms = self.components.router.path_work(rule.service, path_key)
+        return self.work_order.factor(rule.importance, path_key, work_ms)
+
+    def work_fields(self, rule):
+        """Return the fields of the decision log on the work of a request."""
+        if rule is None or self.components.policy().decisions.equals != "work":
+            return {}
+        work_ms = self.components.router.path_work(rule.service, rule.path_key)
+        return {"work_ms": round(work_ms, 1)}
+
     def count_answer(self, rule, answer, elapsed):
         """Count a request's answer by error kind and for its objective."""
         name = answer.kind.name if answer.kind else "ANSWERED"
