Ask a neighbour for figures of work when a daemon starts

Cause: a daemon that starts has no figures, and for its first seconds admits requests by rank alone that services below refuse. Counters are under work.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -24,7 +24,7 @@
     return {
         "calls": partial(asdict, daemon.call_components.counters),
         "admission": daemon.admission.counters.plain,
-        "work": daemon.admission.work_counters.plain,
+        "work": partial(work_counters, daemon),
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
         "retries": partial(dict, daemon.retry_rules.stops),
@@ -66,6 +66,11 @@
     }
 
 
+def work_counters(daemon):
+    """Return the slot time of runs and the counters of snapshots."""
+    return {**daemon.admission.work_counters.plain(), **daemon.work_snapshots.counters}
+
+
 def door_counters(daemon):
     """Return the requests and refusals of each door."""
     return {
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -17,6 +17,7 @@
 from papayabay_daemon._internal.calls.flow import CallFlow
 from papayabay_daemon._internal.calls.pause import PauseDetector
 from papayabay_daemon._internal.calls.receive import Receiver
+from papayabay_daemon._internal.calls.snapshot import SnapshotExchange
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.calls.work import WorkModel
 from papayabay_daemon._internal.configuration import ConfigurationManager
@@ -197,6 +198,14 @@
         self.admission.set_downstream_source(chains.closed_paths)
         self.work = WorkModel(self.router, self.policy)
         self.admission.set_work_source(self.work.work_ms)
+        self.work_snapshots = SnapshotExchange(
+            self.membership,
+            self.links,
+            self.policy,
+            self.work,
+            self.router,
+            self.random,
+        )
         self.arrival_budget = ArrivalBudget(
             self.policy, self.membership.known_upstream_count
         )
@@ -266,6 +275,7 @@
             Child("pause watch", self.pause_detector.run),
             Child("quarantine", self.quarantine_propagation.run),
             Child("keeper ring", self.owner_ring.run),
+            Child("work snapshot", self.work_snapshots.run),
         ]
         if self.writer is not None:
             children.append(Child("log", self.writer.run))
