Set path classes and due times of calls

Cause: within the class that an account gives, calls of every path had the same class, so that deeper calls of less important paths went first. A queue did not know how much time the rest of a call's chain needs. Change: the entry sets `Call.path_class`; with `queue_order = "due"` it sets `due_at` too, and child calls get theirs by equal slack from what the daemon learns of the runs of its target (`calls/slack.py`). `Call.rest_s`, `rest_ms` at the end of the call frame, is the time that the rest of the chain needs before the deadline. The deadline itself stays, so that no running call is ended by an estimate.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -84,6 +84,9 @@
     path_class : int
         Importance class of the entry path, which orders calls of requests
         whose accounts give them the same class.
+    rest_s : float
+        Seconds that the request takes at least between the answer to this
+        call and its deadline `expires_at`.
     """
 
     request_id: str
@@ -107,6 +110,7 @@
     key_digest: str = ""
     due_at: float | None = None
     path_class: int = 0
+    rest_s: float = 0.0
 
     @property
     def policy_class(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -14,6 +14,7 @@
     answer_or_error,
     error_answer,
 )
+from papayabay_daemon._internal.calls.slack import entry_due_at
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
 from papayabay_daemon._internal.lifetime.ranks import (
     effective_priority,
@@ -269,6 +270,11 @@
         lifetime = entry_deadline(rule, incoming.deadline_ms)
         if not decisions.deadlines:
             lifetime = UNLIMITED_LIFETIME_SECONDS
+        entered_at = now()
+        expires_at = entered_at + lifetime
+        due_at = None
+        if decisions.queue_order == "due":
+            due_at = entry_due_at(rule, entered_at, expires_at)
         account = identity.account if identity else NO_ACCOUNT
         declared = rule.importance if account.importance is None else account.importance
         rank = rank_of(incoming.idempotency_key or request_id)
@@ -284,8 +290,10 @@
             body=incoming.body,
             importance=importance,
             rank=rank,
+            path_class=int(rule.importance if importance is declared else importance),
             depth=0,
-            expires_at=now() + lifetime,
+            expires_at=expires_at,
+            due_at=due_at,
             credits=rule.retry_credits,
             idempotent=rule.idempotent,
             idempotency_key=incoming.idempotency_key,
@@ -360,9 +368,15 @@
         self.components.counters.outgoing += 1
         call = self.child_call(incoming, rule, live.call)
         live.called_paths.add(rule.path_key)
+        slack = None
+        if self.components.policy().decisions.queue_order == "due":
+            slack = self.tree.slack
+            slack.begin_call(live, call, now())
         answer = await answer_or_error(
             self.tree.run_while_live(live, self.run(call, rule, live.account))
         )
+        if slack is not None:
+            slack.end_call(live, now())
         live.downstream_failed |= answer.failed
         return answer
 
@@ -381,6 +395,7 @@
             body=incoming.body,
             importance=parent.importance,
             rank=parent.rank,
+            path_class=parent.path_class,
             depth=depth,
             expires_at=min(parent.expires_at, now() + lifetime),
             credits=0,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -1,6 +1,7 @@
 """Callee side of a call: admission, the run on the target and the answer."""
 
 from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.lifetime.ranks import per_hop_rank
 
@@ -146,3 +147,5 @@
         ticket.finish(answer)
         if not cut_off:
             self.chains.note(live.call.path_key, live.called_paths)
+            if live.steps is not None and not answer.failed:
+                self.tree.slack.end_run(live, now())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -7,6 +7,7 @@
 
 from papayabay_core.calls import Call
 from papayabay_core.errors import CallError, ErrorKind
+from papayabay_daemon._internal.calls.slack import RunSteps, SlackModel
 from papayabay_daemon._internal.retries import CreditAccount, RetryDetector
 
 MAX_EARLIER_SECONDS = 0.004
@@ -35,6 +36,8 @@
         Whether one of its outgoing calls has failed.
     is_cut_off : bool
         Whether it ended without an answer of its target.
+    steps : RunSteps or None
+        Its outgoing calls, for due times; None before the first one.
     """
 
     call: Call
@@ -44,6 +47,7 @@
     called_paths: set[str] = field(default_factory=set)
     downstream_failed: bool = False
     is_cut_off: bool = False
+    steps: RunSteps | None = None
 
 
 class CallTree:
@@ -57,12 +61,15 @@
         calls of a request carry the same one.
     parents_named : bool
         Whether any outgoing call has named its parent call so far.
+    slack : SlackModel
+        Due times of outgoing calls.
     """
 
     def __init__(self):
         self.live = {}
         self.tokens = {}
         self.parents_named = False
+        self.slack = SlackModel()
         self.numbers = itertools.count(1)
         self.secret = secrets.token_hex(4)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -71,6 +71,8 @@
         Time until the call is due when the frame was sent; negative if past.
     order : int
         Importance class of the entry path; see `Call.path_class`.
+    rest_ms : int
+        See `Call.rest_s`.
     """
 
     id: Identifier
@@ -96,6 +98,7 @@
     account: str = ""
     due_ms: Annotated[int, Meta(ge=-(2**31), le=2**31 - 1)] | None = None
     order: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] = 0
+    rest_ms: Count = 0
 
 
 class LoadFrame(msgspec.Struct, array_like=True):
@@ -242,6 +245,7 @@
         account=call.account,
         due_ms=None if call.due_at is None else due_ms(call.due_at),
         order=call.path_class,
+        rest_ms=min(int(call.rest_s * 1_000), MAX_REMAINING_MS),
     )
     try:
         return encode(frame)
@@ -286,6 +290,7 @@
         account=frame.account,
         due_at=due_at,
         path_class=frame.order,
+        rest_s=frame.rest_ms / 1_000,
     )
 
 
