Tell refused requests when there is room for them

Change: with decisions.return_times = "backlog" the entry assigns each refusal for load to the first 100 ms with capacity left, by service and class, and gives a request that comes back at its time the best rank of its class. The default, "jitter", runs none of it.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -16,11 +16,12 @@
 )
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
 from papayabay_daemon._internal.lifetime.ranks import (
+    best_rank,
     effective_priority,
     rank_in_account_class,
     rank_of,
 )
-from papayabay_daemon._internal.retries import CreditAccount
+from papayabay_daemon._internal.retries import CreditAccount, ReturnTimes
 
 UNLIMITED_LIFETIME_SECONDS = 600.0
 """Lifetime of a request if the policy turns deadlines off."""
@@ -52,6 +53,8 @@
         Requests that a shutdown has to wait for.
     idle : asyncio.Event
         Set while there are none.
+    returns : ReturnTimes
+        Used where the policy has return times by backlog.
     """
 
     def __init__(self, components, tree, dispatcher, gate, accounts, objectives, pause):
@@ -66,6 +69,7 @@
         self.in_flight = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.returns = ReturnTimes()
 
     async def handle_request(self, incoming):
         """Answer a caller's request.
@@ -159,11 +163,31 @@
             return await self.run_child(incoming, rule, live)
         identity = await self.components.accounts.authenticate(incoming, rule)
         call = self.entry_call(incoming, rule, request_id, identity)
+        if identity is not None:
+            incoming.account = identity.account.name
+        decisions = self.components.policy().decisions
+        if decisions.return_times == "backlog" and decisions.retry_after:
+            return await self.run_returning(call, rule, identity)
+        return await self.run_entered(call, rule, identity)
+
+    async def run_entered(self, call, rule, identity):
+        """Run a caller's request, within its account's limit if it has one."""
         if identity is None:
             return await self.run_root(call, rule)
-        incoming.account = identity.account.name
         return await self.run_limited(call, rule, identity.account)
 
+    async def run_returning(self, call, rule, identity):
+        """Run a request whose refusal tells a time by the backlog.
+
+        One that has come back at its time gets the best rank of its class.
+        """
+        returned = self.returns.recognise(call)
+        if returned and call.declared_class is None:
+            account = identity.account if identity else NO_ACCOUNT
+            call.rank = best_rank(rule.importance, account.importance)
+        running = self.run_entered(call, rule, identity)
+        return await self.returns.run(call, rule, returned, running)
+
     async def run_limited(self, call, rule, account):
         """Run a caller's request if its account is within its limit.
 
