Order requests by the fair shares of their accounts

Cause: when the capacity is less than the sum of the limits, accounts get service in proportion to what they send. Change: with decisions.account_shares = "max-min" the ranks are multiplied by half of the account's usage (demand by limit). The owners of the limit's slots measure it from the demand that token requests state, and from reports while load is refused; replies state it, also of other slots of the owner. Without a stated usage an entry estimates it from its own requests and the mean of the other accounts. The default, "none", sends and computes nothing.

--- /dev/null
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/demand.py
@@ -0,0 +1,105 @@
+"""The demand of rate limit slots, measured by their owner."""
+
+import math
+from collections import deque
+
+AVERAGING_SECONDS = 1.0
+"""Time constant of the moving average of the demand."""
+MIN_AGE_SECONDS = 0.25
+"""Least age at which the average of a new slot is corrected for its start."""
+MAX_OTHERS = 8
+"""Most usages of other slots in one reply."""
+MAX_USAGE = 1e6
+
+
+class DemandRate:
+    """Moving average of the requests a second of one slot.
+
+    Parameters
+    ----------
+    since : float
+        Time from which the demand is counted, seconds.
+    """
+
+    __slots__ = ("rate", "since", "updated_at")
+
+    def __init__(self, since):
+        self.since = since
+        self.updated_at = since
+        self.rate = 0.0
+
+    def record(self, count, now):
+        """Count requests."""
+        self.rate = self.decayed(now) + count / AVERAGING_SECONDS
+        self.updated_at = now
+
+    def decayed(self, now):
+        """Return the average, not corrected for the start."""
+        return self.rate * math.exp((self.updated_at - now) / AVERAGING_SECONDS)
+
+    def current(self, now):
+        """Return the requests a second; a new slot's demand is scaled up."""
+        age = max(MIN_AGE_SECONDS, now - self.since)
+        return self.decayed(now) / -math.expm1(-age / AVERAGING_SECONDS)
+
+
+class SlotDemands:
+    """The demand of each slot that this daemon owns.
+
+    Parameters
+    ----------
+    slot_rate : callable
+        Takes an account's name; returns the current limit of each of its
+        slots, requests a second, or 0.0 for an account without a limit.
+    """
+
+    def __init__(self, slot_rate):
+        self.slot_rate = slot_rate
+        self.rates = {}
+        self.turn = deque()
+
+    def record(self, key, count, now, since):
+        """Count requests of a slot.
+
+        Parameters
+        ----------
+        key : (str, int)
+            Account and slot number.
+        count : int
+        now : float
+        since : float
+            Since when all reports for the slot have come to this daemon.
+        """
+        rate = self.rates.get(key)
+        if rate is None:
+            rate = self.rates[key] = DemandRate(since)
+            self.turn.append(key)
+        rate.record(count, now)
+
+    def usage(self, key, now):
+        """Return the demand as a multiple of the slot's current limit."""
+        rate = self.rates.get(key)
+        limit = self.slot_rate(key[0])
+        if rate is None or not limit:
+            return 0.0
+        return round(min(MAX_USAGE, rate.current(now) / limit), 4)
+
+    def others(self, key, now):
+        """Return account, slot and usage of the next slots in turn.
+
+        An account that sends little through an entry would not be asked for
+        there while its usage is fresh. With the usages of the owner's other
+        slots, an entry learns them from requests of any account.
+        """
+        found = []
+        for _ in range(min(MAX_OTHERS, len(self.turn))):
+            self.turn.rotate(-1)
+            other = self.turn[-1]
+            if other != key:
+                found.append((*other, self.usage(other, now)))
+        return found
+
+    def evict(self, is_owned):
+        """Drop the slots that this daemon no longer owns."""
+        self.rates = {key: rate for key, rate in self.rates.items() if is_owned(key)}
+        self.turn = deque(self.rates)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limit_owner.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limit_owner.py
@@ -1,7 +1,10 @@
 """Grants tokens of the rate limit slots that this daemon owns."""
 
+import msgspec
+
 from papayabay_core.utils.clock import now, whole_ms
 from papayabay_daemon._internal.accounts.buckets import TokenBucket
+from papayabay_daemon._internal.accounts.demand import SlotDemands
 from papayabay_daemon._internal.accounts.messages import (
     TOPIC,
     Outcome,
@@ -12,6 +15,7 @@
 from papayabay_daemon._internal.accounts.slots import slot_limit, slot_positions
 
 NOT_OWNER = TokenReply(Outcome.NOT_OWNER)
+REPORTED = TokenReply(Outcome.GRANTED)
 
 
 class LimitOwner:
@@ -37,6 +41,8 @@
         By account and slot.
     is_leaving : bool
         Whether this daemon shuts down and grants no more tokens.
+    demands : SlotDemands
+        Empty while the policy divides no capacity among accounts.
     counters : dict of str to int
     """
 
@@ -45,6 +51,7 @@
         self.ring = ring
         self.clock = clock
         self.buckets = {}
+        self.demands = SlotDemands(self.slot_rate)
         self.ring_version = 0
         self.is_leaving = False
         self.counters = dict.fromkeys(("granted", "exhausted", "not_kept"), 0)
@@ -62,6 +69,33 @@
         if not self.may_grant(account, request.slot):
             self.counters["not_kept"] += 1
             return NOT_OWNER
+        reply = self.token_reply(account, request)
+        if not request.demanded:
+            return reply
+        return self.with_usages(reply, request)
+
+    def with_usages(self, reply, request):
+        """Count reported demand; return the reply with the slots' usages."""
+        key = request.account, request.slot
+        moment = self.clock()
+        self.demands.record(key, request.demanded, moment, self.owned_since())
+        return msgspec.structs.replace(
+            reply,
+            usage=self.demands.usage(key, moment),
+            others=self.demands.others(key, moment),
+        )
+
+    def slot_rate(self, name):
+        """Return the requests a second that each slot of an account grants."""
+        account = self.policy_source().accounts.by_name.get(name)
+        if account is None or account.limit is None:
+            return 0.0
+        return slot_limit(account.limit, self.ring.share).rate_per_s
+
+    def token_reply(self, account, request):
+        """Return the reply without usages; no token for a mere report."""
+        if not request.wanted:
+            return REPORTED
         bucket = self.bucket_of(account, request.slot)
         moment = self.clock()
         taken = bucket.take(moment, request.wanted)
@@ -92,6 +126,7 @@
         for name, slot in list(self.buckets):
             if not self.owns(accounts.get(name), slot):
                 del self.buckets[name, slot]
+        self.demands.evict(lambda key: self.owns(accounts.get(key[0]), key[1]))
 
     def owns(self, account, slot):
         """Return whether a slot exists and this daemon owns it."""
@@ -100,14 +135,17 @@
         positions = slot_positions(account)
         return slot < len(positions) and self.ring.is_local(positions[slot])
 
+    def owned_since(self):
+        """Return since when this daemon may own a slot that is new to it."""
+        return max(self.ring.settled_at, self.ring.shrunk_at)
+
     def bucket_of(self, account, slot):
         """Return a slot's bucket, with rate and depth of the current limit."""
         limit = slot_limit(account.limit, self.ring.share)
         key = account.name, slot
         bucket = self.buckets.get(key)
         if bucket is None:
-            since = max(self.ring.settled_at, self.ring.shrunk_at)
-            bucket = TokenBucket(limit.rate_per_s, limit.depth, since)
+            bucket = TokenBucket(limit.rate_per_s, limit.depth, self.owned_since())
             self.buckets[key] = bucket
         bucket.reconfigure(limit.rate_per_s, limit.depth, self.clock())
         return bucket
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/messages.py
@@ -7,10 +7,12 @@
 from msgspec import Meta
 
 from papayabay_core.exceptions import ProtocolError
+from papayabay_daemon._internal.accounts.demand import MAX_USAGE
 
 TOPIC = "limits"
 
 Count = Annotated[int, Meta(ge=0, le=2**32 - 1)]
+Usage = Annotated[float, Meta(ge=0.0, le=MAX_USAGE)]
 
 
 class Outcome(IntEnum):
@@ -33,18 +35,22 @@
     account : str
     slot : int
     wanted : int
-        Number of tokens.
+        Number of tokens; 0 if the request only reports demand.
     max_wait_ms : int
         Longest acceptable wait for the first of them.
     lost : int
         Number of members that the sender knows to be lost.
+    demanded : int
+        Requests of the account at the sender that it has not reported to any
+        owner before; 0 while the policy divides no capacity among accounts.
     """
 
     account: str
     slot: Annotated[int, Meta(ge=0, le=255)]
-    wanted: Annotated[int, Meta(ge=1, le=65_535)]
+    wanted: Annotated[int, Meta(ge=0, le=65_535)]
     max_wait_ms: Annotated[int, Meta(ge=0, le=10_000)] = 0
     lost: Count = 0
+    demanded: Count = 0
 
 
 class TokenReply(msgspec.Struct, array_like=True, frozen=True):
@@ -58,11 +64,17 @@
     wait_ms : int
         Time until the tokens may be used; for an exhausted slot, until the
         request should be retried.
+    usage : float
+        Demand of the slot as a multiple of its limit; 0 if it is unknown.
+    others : list of (str, int, float)
+        Account, slot and usage of further slots that the owner has.
     """
 
     outcome: Outcome
     granted: Count = 0
     wait_ms: Count = 0
+    usage: Usage = 0.0
+    others: list[tuple[str, int, Usage]] = []
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
@@ -14,6 +14,7 @@
     decode_reply,
     encode,
 )
+from papayabay_daemon._internal.accounts.shares import AccountShares
 from papayabay_daemon._internal.accounts.slots import slot_positions
 
 REQUEST_TIMEOUT_SECONDS = 0.15
@@ -89,6 +90,10 @@
         return min((wait for wait in waits if wait > 0.0), default=0.0)
 
 
+NO_LEASE = Lease()
+"""Used where it does not matter whether a slot is exhausted."""
+
+
 class OwnerLimiter:
     """A `Limiter` that requests tokens from the owners of a limit's slots.
 
@@ -106,15 +111,19 @@
     random : random.Random
     clock : callable
         Seconds.
+    shares : AccountShares or None
+        Its pending demand is reported with token requests. It has none while
+        the policy divides no capacity among accounts.
     """
 
-    def __init__(self, local, ring, owner, links, random, clock=now):
+    def __init__(self, local, ring, owner, links, random, clock=now, shares=None):
         self.local = local
         self.ring = ring
         self.owner = owner
         self.links = links
         self.random = random
         self.clock = clock
+        self.shares = shares or AccountShares(clock, lambda: ring.live_count)
         self.leases = {}
         self.unresponsive_until = {}
         self.counters = dict.fromkeys(("asked", "unanswered", "in_advance"), 0)
@@ -144,15 +153,42 @@
         for number, (slot, member) in enumerate(candidates, 1):
             max_wait_ms = MAX_WAIT_MS if number == len(candidates) else 0
             tokens = tokens_to_request(lease)
-            request = TokenRequest(
-                account.name, slot, tokens, max_wait_ms, self.ring.lost_count
-            )
-            reply = await self.send(member, request)
+            reply = await self.ask(account, slot, member, tokens, max_wait_ms)
             if self.process_reply(lease, slot, reply):
                 await asyncio.sleep(reply.wait_ms / 1_000)
                 return True
         return False
 
+    async def ask(self, account, slot, member, tokens, max_wait_ms):
+        """Request tokens, report pending demand, and learn stated usages."""
+        shares = self.shares
+        demanded = shares.take_pending(account.name)
+        lost = self.ring.lost_count
+        request = TokenRequest(account.name, slot, tokens, max_wait_ms, lost, demanded)
+        reply = await self.send(member, request)
+        if not demanded:
+            return reply
+        if reply is None or reply.outcome is Outcome.NOT_OWNER:
+            shares.restore_pending(account.name, demanded)
+            return reply
+        shares.learned(account.name, slot, reply.usage)
+        for name, other_slot, usage in reply.others:
+            shares.learned(name, other_slot, usage)
+        return reply
+
+    async def report_demand(self, account):
+        """Report pending demand to the owner of a slot drawn at random.
+
+        Owners in other failure domains are drawn as often, so that the demand
+        is spread evenly over the slots.
+        """
+        candidates = self.candidate_owners(account, NO_LEASE)
+        share = len(candidates) / len(slot_positions(account))
+        self.shares.set_reachable(account.name, share)
+        if candidates:
+            slot, member = self.random.choice(candidates)
+            await self.ask(account, slot, member, 0, 0)
+
     def process_reply(self, lease, slot, reply):
         """Update a lease from a reply; return whether a token was granted."""
         if reply is None or reply.outcome is Outcome.NOT_OWNER:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/components.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/components.py
@@ -6,7 +6,11 @@
 
 from papayabay_core.policy import Policy
 from papayabay_core.settings import DaemonSettings
-from papayabay_daemon._internal.accounts import Authenticator, RateLimits
+from papayabay_daemon._internal.accounts import (
+    Authenticator,
+    DemandReports,
+    RateLimits,
+)
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.interfaces import (
     Admission,
@@ -66,6 +70,8 @@
     limits : RateLimits
         Rate limits of the accounts.
     log : DecisionLog
+    demand_reports : DemandReports
+        Used where the policy divides capacity among accounts.
     """
 
     settings: DaemonSettings
@@ -84,3 +90,4 @@
     latencies: Latencies = field(default_factory=Latencies)
     log: DecisionLog = field(default_factory=DecisionLog)
     counters: CallCounters = field(default_factory=CallCounters)
+    demand_reports: DemandReports | None = None
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -20,6 +20,7 @@
     effective_priority,
     rank_in_account_class,
     rank_of,
+    scaled_rank,
 )
 from papayabay_daemon._internal.retries import CreditAccount, ReturnTimes
 
@@ -174,16 +175,23 @@
         """Run a caller's request, within its account's limit if it has one."""
         if identity is None:
             return await self.run_root(call, rule)
-        return await self.run_limited(call, rule, identity.account)
+        account = identity.account
+        running = self.run_limited(call, rule, account)
+        if has_share(account, self.components.policy().decisions):
+            return await self.components.demand_reports.watch(account, running)
+        return await running
 
     async def run_returning(self, call, rule, identity):
         """Run a request whose refusal tells a time by the backlog.
 
-        One that has come back at its time gets the best rank of its class.
+        One that has come back at its time gets the best rank of its class,
+        unless its account demands more than its share of the capacity.
         """
         returned = self.returns.recognise(call)
+        account = identity.account if identity else NO_ACCOUNT
+        if has_share(account, self.components.policy().decisions):
+            returned &= not self.components.demand_reports.shares.is_beyond(account)
         if returned and call.declared_class is None:
-            account = identity.account if identity else NO_ACCOUNT
             call.rank = best_rank(rule.importance, account.importance)
         running = self.run_entered(call, rule, identity)
         return await self.returns.run(call, rule, returned, running)
@@ -297,6 +305,10 @@
         declared = rule.importance if account.importance is None else account.importance
         rank = rank_of(incoming.idempotency_key or request_id)
         importance, rank = effective_priority(declared, rank, decisions.kept_share)
+        if decisions.account_shares == "max-min":
+            # Also for requests treated as critical: all ranks of a class must
+            # have the same scale, else these would be refused first.
+            rank = scaled_rank(rank, self.share_factor(account))
         if account.importance is not None and importance is declared:
             rank = rank_in_account_class(rule.importance, rank)
         return Call(
@@ -320,6 +332,13 @@
             key_digest=identity.key_digest if identity else "",
         )
 
+    def share_factor(self, account):
+        """Return the multiple of the ranks of an account's requests."""
+        shares = self.components.demand_reports.shares
+        if account.limit is None:
+            return shares.typical_factor()
+        return shares.arrived(account)
+
     def count_answer(self, rule, answer, elapsed):
         """Count a request's answer by error kind and for its objective."""
         name = answer.kind.name if answer.kind else "ANSWERED"
@@ -431,6 +450,11 @@
         )
 
 
+def has_share(account, decisions):
+    """Return whether capacity is divided between an account and others."""
+    return decisions.account_shares == "max-min" and account.limit is not None
+
+
 def unknown_service(policy, service):
     """Return the error for a service that the policy does not name.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -60,7 +60,12 @@
 
 def account_counters(daemon):
     """Return the counters of account keys and of rate limit tokens."""
-    sources = daemon.authenticator, daemon.owner_limiter, daemon.limit_owner
+    sources = (
+        daemon.authenticator,
+        daemon.owner_limiter,
+        daemon.limit_owner,
+        daemon.account_shares,
+    )
     return {
         name: count for source in sources for name, count in source.counters.items()
     }
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -4,6 +4,7 @@
 
 from papayabay_daemon._internal.accounts import (
     Authenticator,
+    DemandReports,
     EqualShareLimiter,
     LimitOwner,
     OwnerLimiter,
@@ -160,6 +161,8 @@
         self.owner_limiter = OwnerLimiter(
             self.membership.local, ring, self.limit_owner, self.links, self.random
         )
+        self.account_shares = self.owner_limiter.shares
+        self.demand_reports = DemandReports(self.account_shares, self.owner_limiter)
         equal_share_limiter = EqualShareLimiter(self.membership)
         self.limits = RateLimits(
             self.policy,
@@ -168,6 +171,7 @@
         )
         for limiter in (self.limits, self.owner_limiter, equal_share_limiter):
             self.configuration.on_change(limiter.policy_changed)
+        self.configuration.on_change(self.account_shares.policy_changed)
         self.links.confirmations = self.configuration.state
         self.table.era.listeners.append(self.configuration.state.store_restored)
 
@@ -190,6 +194,7 @@
             latencies=Latencies(),
             log=self.decision_log,
             counters=CallCounters(),
+            demand_reports=self.demand_reports,
         )
         self.call_tree = CallTree()
         chains = ChainModel(self.router)
