--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -17,13 +17,14 @@
 from papayabay_daemon._internal.calls.slack import entry_due_at
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
 from papayabay_daemon._internal.lifetime.ranks import (
+    best_rank,
     effective_priority,
     rank_in_account_class,
     rank_of,
     scaled_rank,
 )
 from papayabay_daemon._internal.lifetime.work_order import WorkOrder
-from papayabay_daemon._internal.retries import CreditAccount
+from papayabay_daemon._internal.retries import CreditAccount, ReturnTimes
 
 UNLIMITED_LIFETIME_SECONDS = 600.0
 """Lifetime of a request if the policy turns deadlines off."""
@@ -55,6 +56,8 @@
         Requests that a shutdown has to wait for.
     idle : asyncio.Event
         Set while there are none.
+    returns : ReturnTimes
+        Used where the policy has return times by backlog.
     """
 
     def __init__(self, components, tree, dispatcher, gate, accounts, objectives, pause):
@@ -70,6 +73,7 @@
         self.in_flight = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.returns = ReturnTimes()
 
     async def handle_request(self, incoming):
         """Answer a caller's request.
@@ -164,10 +168,37 @@
             return await self.run_child(incoming, rule, live)
         identity = await self.components.accounts.authenticate(incoming, rule)
         call = self.entry_call(incoming, rule, request_id, identity)
+        if identity is not None:
+            incoming.account = identity.account.name
+        decisions = self.components.policy().decisions
+        if decisions.return_times == "backlog" and decisions.retry_after:
+            return await self.run_returning(call, rule, identity)
+        return await self.run_entered(call, rule, identity)
+
+    async def run_entered(self, call, rule, identity):
+        """Run a caller's request, within its account's limit if it has one."""
         if identity is None:
             return await self.run_root(call, rule)
-        incoming.account = identity.account.name
-        return await self.run_limited(call, rule, identity.account)
+        account = identity.account
+        running = self.run_limited(call, rule, account)
+        if has_share(account, self.components.policy().decisions):
+            return await self.components.demand_reports.watch(account, running)
+        return await running
+
+    async def run_returning(self, call, rule, identity):
+        """Run a request whose refusal tells a time by the backlog.
+
+        One that has come back at its time gets the best rank of its class,
+        unless its account demands more than its share of the capacity.
+        """
+        returned = self.returns.recognise(call)
+        account = identity.account if identity else NO_ACCOUNT
+        if has_share(account, self.components.policy().decisions):
+            returned &= not self.components.demand_reports.shares.is_beyond(account)
+        if returned and call.declared_class is None:
+            call.rank = best_rank(rule.importance, account.importance)
+        running = self.run_entered(call, rule, identity)
+        return await self.returns.run(call, rule, returned, running)
 
     async def run_limited(self, call, rule, account):
         """Run a caller's request if its account is within its limit.
@@ -285,6 +316,10 @@
         importance, rank = effective_priority(declared, rank, decisions.kept_share)
         if decisions.equals == "work" and importance is declared:
             rank = scaled_rank(rank, self.work_factor(rule))
+        if decisions.account_shares == "max-min":
+            # Also for requests treated as critical: all ranks of a class must
+            # have the same scale, else these would be refused first.
+            rank = scaled_rank(rank, self.share_factor(account))
         if account.importance is not None and importance is declared:
             rank = rank_in_account_class(rule.importance, rank)
         return Call(
@@ -323,6 +358,13 @@
         work_ms = self.components.router.path_work(rule.service, rule.path_key)
         return {"work_ms": round(work_ms, 1)}
 
+    def share_factor(self, account):
+        """Return the multiple of the ranks of an account's requests."""
+        shares = self.components.demand_reports.shares
+        if account.limit is None:
+            return shares.typical_factor()
+        return shares.arrived(account)
+
     def count_answer(self, rule, answer, elapsed):
         """Count a request's answer by error kind and for its objective."""
         name = answer.kind.name if answer.kind else "ANSWERED"
@@ -441,6 +483,11 @@
         )
 
 
+def has_share(account, decisions):
+    """Return whether capacity is divided between an account and others."""
+    return decisions.account_shares == "max-min" and account.limit is not None
+
+
 def unknown_service(policy, service):
     """Return the error for a service that the policy does not name.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -28,6 +28,7 @@
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
         "retries": partial(dict, daemon.retry_rules.stops),
+        "returns": partial(dict, daemon.flow.returns.counters),
         "repeats": daemon.arrival_budget.totals,
         "idempotency": partial(key_counters, daemon.idempotency_gate),
         "store": partial(dict, daemon.idempotency_gate.claims.counters),
@@ -60,7 +61,12 @@
 
 def account_counters(daemon):
     """Return the counters of account keys and of rate limit tokens."""
-    sources = daemon.authenticator, daemon.owner_limiter, daemon.limit_owner
+    sources = (
+        daemon.authenticator,
+        daemon.owner_limiter,
+        daemon.limit_owner,
+        daemon.account_shares,
+    )
     return {
         name: count for source in sources for name, count in source.counters.items()
     }
