Compute the rate of retries that the budget has left

Cause: a level that rations the retry budget has to know what rate of retries the budget sustains. Change: BudgetWindow.retry_rate, and reservations without pacing. Conclusion: nothing uses it yet.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -29,6 +29,10 @@
 """Slices over which classes other than critical are limited to the rate at
 which the budget is replenished."""
 
+RATE_HORIZON_SHARE = 0.4
+"""Part of the window in which an unused budget may be spent, if all calls that
+need retries get them. Random refusals last for some seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class BudgetUse:
@@ -128,7 +132,7 @@
         """Release a pending retry that won't reach the target."""
         self.pending -= 1
 
-    def try_reserve(self, retries, sharers, importance=Importance.CRITICAL):
+    def try_reserve(self, retries, sharers, importance=Importance.CRITICAL, paced=True):
         """Reserve a retry; return False if the budget is exhausted.
 
         A reserved retry is pending until it is recorded or released.
@@ -141,13 +145,17 @@
             Daemons that share the budget.
         importance : Importance
             Classes other than critical may use only a part of the budget.
+        paced : bool
+            Whether these classes are limited to the rate at which the budget
+            is replenished.
         """
         share = CLASS_SHARES[importance]
         windows = self.windows(retries, sharers)
         if min(share * allowed - used for used, allowed, _ in windows) < 1.0:
             return False
         _, allowed, _ = windows[-1]
-        if importance is not Importance.CRITICAL and self.exceeds_pace(allowed):
+        paced &= importance is not Importance.CRITICAL
+        if paced and self.exceeds_pace(allowed):
             return False
         self.pending += 1
         return True
@@ -194,6 +202,30 @@
             for used, firsts in zip(retry_sums, first_sums, strict=True)
         ]
 
+    def retry_rate(self, retries, sharers, importance):
+        """Return the retries per second that the budget has left for a class.
+
+        It is the highest rate that does not exhaust the budget at any time
+        within the next `RATE_HORIZON_SHARE` of the window. An unused budget is
+        spent within about half a window, and a budget in steady use at the
+        rate at which retries leave the window.
+
+        Parameters
+        ----------
+        retries : Retries
+        sharers : int
+        importance : Importance
+        """
+        share = CLASS_SHARES[importance]
+        windows = self.windows(retries, sharers)
+        left = min(share * allowed - used for used, allowed, _ in windows)
+        slices = int(RATE_HORIZON_SHARE * SLICES)
+        leaving = accumulate(islice(self.retry_counts, 1, slices), initial=0)
+        per_slice = min(
+            (left + count) / number for number, count in enumerate(leaving, start=1)
+        )
+        return max(0.0, per_slice) * SLICES / self.window_s
+
     def fixed_part(self, retries, sharers):
         """Return the retries that no first attempts need to earn.
 
