--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -15,6 +15,7 @@
 from papayabay_daemon._internal.admission.overload import OverloadLog
 from papayabay_daemon._internal.admission.ranked import Ranked
 from papayabay_daemon._internal.admission.rate_limit import RateLimit
+from papayabay_daemon._internal.admission.repeat_level import RepeatLevel
 from papayabay_daemon._internal.admission.retry_after import RetryAfter
 from papayabay_daemon._internal.admission.service_times import ServiceTimes
 from papayabay_daemon._internal.admission.slot_limit import (
@@ -77,6 +78,8 @@
         self.rate_limit = RateLimit(inputs)
         self.retry_after = RetryAfter(inputs)
         self.downstream = DownstreamLevels()
+        self.repeat_level = RepeatLevel()
+        self.repeat_level.reconfigure(inputs.settings.repeat_limit)
         self.slot_use = SlotUse()
         self.overload = OverloadLog(self.read_clock)
         self.scheme_name = scheme
@@ -109,6 +112,9 @@
     def load(self, path_key):
         """Return the load state that answers of a call path carry."""
         now = self.clock()
+        path_levels = self.downstream.closed(now)
+        if self.repeat_level.enabled:
+            path_levels = self.repeat_level.closed(path_levels, now)
         return LoadState(
             in_flight=self.in_flight,
             queued=self.scheme.queue.size,
@@ -116,7 +122,7 @@
             queue_ms=self.mean_queue_s * 1_000,
             service_ms=self.times.mean(path_key) * 1_000,
             admit_level=self.scheme.level(now),
-            path_levels=self.downstream.closed(now),
+            path_levels=path_levels,
         )
 
     def record_report(self, report, sent_at):
@@ -186,6 +192,7 @@
         self.slot_limit.reconfigure(inputs)
         self.rate_limit.reconfigure(inputs)
         self.retry_after.reconfigure(inputs)
+        self.repeat_level.reconfigure(inputs.settings.repeat_limit)
         now = self.clock()
         if replaced:
             waiting_calls = sorted(self.empty_queue(), key=lambda entry: entry.number)
@@ -230,6 +237,7 @@
             "queue_ms": self.mean_queue_s * 1_000,
             "service_ms": self.times.overall.mean * 1_000,
             "admit_level": self.scheme.level(now),
+            "repeat_level": self.repeat_level.level,
             "leaving": self.leaving,
             **self.counters.plain(),
         }
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -8,6 +8,7 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.admission.repeat_level import RepeatLevel
 from papayabay_daemon._internal.retries.decision import NEVER_REACHED_TARGET
 from papayabay_daemon._internal.retries.exhaustion_log import ExhaustionLog
 from papayabay_daemon._internal.retries.sharers import SharerCount
@@ -34,13 +35,15 @@
         were until recently.
     clock : callable
         Seconds.
+    repeat_level : RepeatLevel or None
+        Level up to which the budget carries calls; None measures none.
 
     Attributes
     ----------
     counters : dict of str to int
     """
 
-    def __init__(self, policy_source, sharers, clock=now):
+    def __init__(self, policy_source, sharers, clock=now, repeat_level=None):
         self.policy_source = policy_source
         self.sharers = SharerCount(sharers, clock)
         self.clock = clock
@@ -49,6 +52,8 @@
         self.counters = dict.fromkeys(COUNTER_NAMES, 0)
         self.arrived_by_class = dict.fromkeys(Importance, 0)
         self.exhaustion_log = ExhaustionLog(log)
+        self.repeat_level = repeat_level or RepeatLevel()
+        self.repeat_level.budget = self.retry_rate
 
     def check(self, call):
         """Admit a call on its way to the target.
@@ -73,8 +78,13 @@
         self.sharers.update(call.service, window.window_s)
         if not call.repeated:
             return window
+        # While there is a level, it bounds the rate of the retries below it.
+        is_limited = self.repeat_level.position is not None
+        if is_limited and self.repeat_level.refuses(call, self.clock()):
+            self.counters["refused"] += 1
+            raise CallError(ErrorKind.RETRIES_SPENT, "the budget is scarce")
         sharers = self.sharers.max_count()
-        if window.try_reserve(retries, sharers, call.policy_class):
+        if window.try_reserve(retries, sharers, call.policy_class, not is_limited):
             self.exhaustion_log.admitted(call.service, self.clock())
             return window
         self.counters["refused"] += 1
@@ -98,6 +108,8 @@
         else:
             window.record_first_attempt()
             self.counters["first_attempts"] += 1
+            if self.repeat_level.enabled:
+                self.repeat_level.record_arrival(call, self.clock())
 
     def record_end(self, call, window, answer):
         """Uncount a first attempt that did not reach the target after all.
@@ -105,7 +117,13 @@
         It is sent to another upstream as a first attempt. A retry stays
         counted: the budget is then underused rather than exceeded.
         """
-        if window is None or call.repeated or answer.kind not in NEVER_REACHED_TARGET:
+        if window is None:
+            return
+        missed = answer.kind in NEVER_REACHED_TARGET
+        if self.repeat_level.enabled and not missed:
+            rejected = answer.kind is ErrorKind.TARGET_REJECTED
+            self.repeat_level.record_end(rejected, self.clock())
+        if call.repeated or not missed:
             return
         window.undo_first_attempt()
         self.counters["first_missed"] += 1
@@ -121,7 +139,18 @@
             importance.name.lower(): count
             for importance, count in self.arrived_by_class.items()
         }
-        return {**self.counters, "arrived_by_class": by_class}
+        level_counters = self.repeat_level.counters
+        return {**self.counters, **level_counters, "arrived_by_class": by_class}
+
+    def retry_rate(self, importance):
+        """Return the retries per second that are left for a class, or None."""
+        if self.window is None:
+            return None
+        retries = self.policy_source().retries(self.service)
+        if retries.window_ms is None:
+            return None
+        sharers = self.sharers.max_count()
+        return self.window.retry_rate(retries, sharers, importance)
 
     def gauges(self):
         """Return the `BudgetUse` of the tightest window, for metrics.
@@ -147,4 +176,5 @@
             self.service = service
             self.window = BudgetWindow(self.clock, window_s)
             self.sharers.reset()
+            self.repeat_level.reset()
         return self.window
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -195,7 +195,9 @@
         chains = ChainModel(self.router)
         self.admission.set_downstream_source(chains.closed_paths)
         self.arrival_budget = ArrivalBudget(
-            self.policy, self.membership.known_upstream_count
+            self.policy,
+            self.membership.known_upstream_count,
+            repeat_level=self.admission.repeat_level,
         )
         receiver = Receiver(
             self.call_components, self.call_tree, chains, self.arrival_budget
