--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -212,7 +212,9 @@
             self.random,
         )
         self.arrival_budget = ArrivalBudget(
-            self.policy, self.membership.known_upstream_count
+            self.policy,
+            self.membership.known_upstream_count,
+            repeat_level=self.admission.repeat_level,
         )
         receiver = Receiver(
             self.call_components, self.call_tree, chains, self.arrival_budget
