Check the load first when preferring an upstream of the own domain

Cause: each call checked health, latency and hints of every upstream of the own failure domain before it compared their load. Change: the load is compared first; only an upstream that is the least loaded so far is checked further. The choice is the same: the least loaded eligible one, the first of several.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
@@ -69,16 +69,20 @@
         upstreams below the usage limit are preferred; the others compete with
         the rest of the subset.
         """
-        max_usage = pool.routing.own_domain_usage
-        candidates = [
-            (usage, number)
-            for number, one in enumerate(pool.own_domain)
-            if one.member.name not in excluded
-            and one.is_healthy(pool.mean_latency, at)
-            and (usage := one.usage(at)) < max_usage
-            and self.accepts(one, call, call.level, at)
-        ]
-        return pool.own_domain[min(candidates)[1]] if candidates else None
+        best = None
+        least_usage = pool.routing.own_domain_usage
+        level = call.level
+        for one in pool.own_domain:
+            # The cheapest check comes first and rules out most upstreams.
+            usage = one.usage(at)
+            if (
+                usage < least_usage
+                and one.member.name not in excluded
+                and one.is_healthy(pool.mean_latency, at)
+                and self.accepts(one, call, level, at)
+            ):
+                best, least_usage = one, usage
+        return best
 
     def pick(self, pool, upstreams, at):
         """Return the better of two random upstreams."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
@@ -129,8 +129,8 @@
         """
         return (
             self.is_available(at)
-            and not self.ejection.penalty(at)
-            and self.error_penalty(at) < HEALTHY_ERROR_PENALTY
+            and not (self.ejection.points and self.ejection.penalty(at))
+            and (not self.error_rate or self.error_penalty(at) < HEALTHY_ERROR_PENALTY)
             and self.expected_latency(mean_latency, at)
             <= MAX_HEALTHY_LATENCY_RATIO * mean_latency
         )
@@ -173,6 +173,8 @@
         if load is None:
             return self.in_flight / max(1, self.member.slots)
         reported = load.in_flight + load.queued
+        if not reported:
+            return self.in_flight / max(1, load.limit)
         decayed = reported * exp((self.load_updated_at - at) / LOAD_DECAY_SECONDS)
         return (self.in_flight + decayed) / max(1, load.limit)
 
