--- a/tests/unit/daemon/test_path_work.py
+++ b/tests/unit/daemon/test_path_work.py
@@ -30,21 +30,14 @@
     return Policy(validate_policy({"decisions": decisions}, "test"))
 
 
-class FakeRouter:
-    """Returns fixed work by path key."""
-
-    def __init__(self):
-        self.work = {}
-
-    def path_services(self, service, path_key):
-        return self.work.get(path_key, {})
-
-
 class WorkModelTest(unittest.TestCase):
     def setUp(self):
-        self.router = FakeRouter()
+        self.below = {}
+        router = SimpleNamespace(
+            path_services=lambda name, key: self.below.get(key, {})
+        )
         self.policy = policy_of(equals="work")
-        self.model = WorkModel(self.router, lambda: self.policy)
+        self.model = WorkModel(router, lambda: self.policy)
         self.now = 100.0
 
     def work_ms(self, level=ADMIT_ALL, path_key=DESK):
@@ -65,7 +58,7 @@
         Two calls, each with four calls to the scarce service, count eight
         times its slot time; a set of children would count it once.
         """
-        self.router.work = {VAULT: {"room": 4 * 54.0}}
+        self.below = {VAULT: {"room": 4 * 54.0}}
         for _ in range(3):
             self.run_ended({VAULT: 2})
         self.assertEqual(self.work_ms(), {"room": 432.0})
@@ -73,7 +66,7 @@
 
     def test_failed_runs_do_not_lower_the_mean(self):
         """Guards against a path that looks light because it is refused."""
-        self.router.work = {VAULT: {"room": 54.0}}
+        self.below = {VAULT: {"room": 54.0}}
         self.run_ended({VAULT: 8})
         for _ in range(20):
             self.run_ended({VAULT: 1}, status=503)
@@ -90,13 +83,13 @@
     def test_nothing_is_reported_by_default(self):
         """Guards against larger answers where the policy does not ask."""
         self.policy = policy_of()
-        self.router.work = {VAULT: {"room": 54.0}}
+        self.below = {VAULT: {"room": 54.0}}
         self.run_ended({VAULT: 1})
         self.assertEqual(self.work_ms(SCARCE), {})
 
     def test_amounts_and_tables_are_bounded(self):
         """Guards against two paths that raise each other's sums forever."""
-        self.router.work = {VAULT: {f"s{n}": 1e300 * n for n in range(1, 12)}}
+        self.below = {VAULT: {f"s{n}": 1e300 * n for n in range(1, 12)}}
         self.run_ended({VAULT: 2})
         reported = self.work_ms()
         self.assertEqual(len(reported), 8)
