Measure service times at the usual speed of the target's host

Cause: a host that is shared slows down for 0.6 s, which changes the service times and makes the share of the slots on trial look bad. Change: a clock that runs slower while the target reports a slowdown, used by service times, slot search and the gradient scheme, if the service's routing score is "completion". LoadState.slowdown carries the figure.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -11,6 +11,7 @@
 from papayabay_daemon._internal.admission.downstream import DownstreamLevels
 from papayabay_daemon._internal.admission.expiries import Expiries
 from papayabay_daemon._internal.admission.gradient import Gradient
+from papayabay_daemon._internal.admission.host_speed import HostSpeed
 from papayabay_daemon._internal.admission.open import Open
 from papayabay_daemon._internal.admission.overload import OverloadLog
 from papayabay_daemon._internal.admission.ranked import Ranked
@@ -74,6 +75,7 @@
         self.clock = inputs.clock
         self.counters = AdmissionCounters()
         self.times = ServiceTimes()
+        self.host_speed = HostSpeed(inputs.corrects_slowdown)
         self.slot_limit = SlotLimit(inputs)
         self.rate_limit = RateLimit(inputs)
         self.retry_after = RetryAfter(inputs)
@@ -123,6 +125,7 @@
             service_ms=self.times.mean(path_key) * 1_000,
             admit_level=self.scheme.level(now),
             path_levels=path_levels,
+            slowdown=self.host_speed.current(now),
         )
 
     def record_report(self, report, sent_at):
@@ -135,6 +138,7 @@
             When the answered call was sent.
         """
         now = self.clock()
+        self.host_speed.record(report.slowdown, now)
         if report.rate_is_known:
             self.rate_limit.record_report(report.rate_per_s, sent_at, now)
         if self.scheme.queue.size:
@@ -158,7 +162,7 @@
         limit : int
             Calls that may run at once.
         """
-        by_slots = self.times.overall.mean / limit
+        by_slots = self.times.overall.mean * self.host_speed.slowdown / limit
         return max(by_slots, self.rate_limit.call_interval())
 
     def read_clock(self):
@@ -194,6 +198,7 @@
         self.retry_after.reconfigure(inputs)
         self.repeat_level.reconfigure(inputs.settings.repeat_limit)
         now = self.clock()
+        self.host_speed.reconfigure(inputs.corrects_slowdown, now)
         if replaced:
             waiting_calls = sorted(self.empty_queue(), key=lambda entry: entry.number)
             self.scheme, self.scheme_name = new_scheme, name
@@ -238,6 +243,8 @@
             "service_ms": self.times.overall.mean * 1_000,
             "admit_level": self.scheme.level(now),
             "repeat_level": self.repeat_level.level,
+            "slowdown": self.host_speed.current(now),
+            "slow_spells": self.host_speed.slow_spells,
             "leaving": self.leaving,
             **self.counters.plain(),
         }
@@ -245,7 +252,8 @@
     def finished(self, ticket, answer):
         """Release the slot of an ended call and hand it to the next one."""
         now = self.clock()
-        elapsed = now - ticket.started
+        work_time = self.host_speed.work_time(now)
+        elapsed = work_time - ticket.started
         self.in_flight -= 1
         self.slot_use.set_in_flight(self.in_flight, now)
         self.counters.finished += 1
@@ -256,7 +264,7 @@
             weight = self.times.relative(ticket.call.path_key)
             mean_s = self.times.overall.mean
             queued = bool(self.scheme.queue.size)
-            self.slot_limit.finished(weight, queued, mean_s, now)
+            self.slot_limit.finished(weight, queued, mean_s, now, work_time)
         self.scheme.finished(elapsed, answer, now)
         if self.scheme.queue.size:
             self.dispatch(now)
@@ -339,7 +347,7 @@
         self.counters.admitted[call.importance] += 1
         self.mean_queue_s += QUEUE_TIME_WEIGHT * (waited_s - self.mean_queue_s)
         self.scheme.granted(waited_s, now)
-        return SlotTicket(self, call, now)
+        return SlotTicket(self, call, self.host_speed.work_time(now))
 
     def release_cancelled(self, waiting):
         """Dequeue a cancelled call, or release the slot it was granted.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/inputs.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/inputs.py
@@ -25,6 +25,8 @@
     awaits_report : bool
         Whether the target may have stated a rate limit in answers that this
         daemon did not see, as it was running before.
+    corrects_slowdown : bool
+        Whether times are corrected by the slowdown that the target reports.
     random : random.Random
     clock : callable
         Returns the time in seconds, as `papayabay_core.utils.clock.now`.
@@ -36,5 +38,6 @@
     cold_start_ms: int = 0
     announced_at: float = 0.0
     awaits_report: bool = False
+    corrects_slowdown: bool = False
     random: Random = field(default_factory=Random)
     clock: Callable[[], float] = now
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_limit.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/slot_limit.py
@@ -48,10 +48,14 @@
             return usable
         return max(1, int(usable * self.ramp(now) * self.recovered_share(now)))
 
-    def finished(self, weight, queued, mean_s, now):
-        """Record an answered call; see `SlotSearch.finished`."""
+    def finished(self, weight, queued, mean_s, now, work_time):
+        """Record an answered call; see `SlotSearch.finished`.
+
+        Trials are measured on the time at the host's usual speed: a host that
+        slows down during one trial would make its share of the slots look bad.
+        """
         if self.searching and now >= self.warm_at and self.share >= 1.0:
-            self.search.finished(weight, queued, mean_s, now)
+            self.search.finished(weight, queued, mean_s, work_time)
 
     def decrease(self, running, now):
         """Lower the limit after the target shed a call or was unreachable.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ticket.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ticket.py
@@ -2,7 +2,10 @@
 
 
 class SlotTicket:
-    """The right to forward one call to the target, occupying one slot."""
+    """The right to forward one call to the target, occupying one slot.
+
+    `started` is a time at the host's usual speed; see `HostSpeed`.
+    """
 
     __slots__ = ("call", "control", "done", "started")
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -23,7 +23,7 @@
     """
     return {
         "calls": partial(asdict, daemon.call_components.counters),
-        "admission": daemon.admission.counters.plain,
+        "admission": partial(admission_counters, daemon.admission),
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
         "retries": partial(dict, daemon.retry_rules.stops),
@@ -42,6 +42,12 @@
     }
 
 
+def admission_counters(admission):
+    """Return the counters of admission, and the slow spells of the host."""
+    slow_spells = admission.host_speed.slow_spells
+    return {**admission.counters.plain(), "slow_spells": slow_spells}
+
+
 def key_counters(gate):
     """Return the counters of idempotency keys and of the key table."""
     return {**gate.counters, **gate.key_table.counters}
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -298,6 +298,7 @@
             cold_start_ms=target.cold_start_ms,
             announced_at=target.announced_at,
             awaits_report=not target.cold_start_ms,
+            corrects_slowdown=policy.routing(target.service).score == "completion",
             random=self.random,
         )
 
