--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
@@ -4,6 +4,7 @@
 
 from papayabay_core.calls import Answer
 from papayabay_core.errors import ErrorKind
+from papayabay_daemon._internal.routing.completion import CompletionModel
 from papayabay_daemon._internal.routing.ejection import FAILURE_POINTS, may_eject
 from papayabay_daemon._internal.routing.hints import AdmissionHints
 from papayabay_daemon._internal.routing.subset import choose_subset
@@ -27,6 +28,8 @@
     source : list of Member
         The membership list that the subset was chosen from.
     subset, reserve : list of Upstream
+    completion : CompletionModel or None
+        None unless policy compares upstreams by expected completion.
     own_domain : list of Upstream
         Upstreams of the subset in this daemon's failure domain; empty unless
         policy prefers them.
@@ -38,6 +41,7 @@
     """
 
     __slots__ = (
+        "completion",
         "ejections",
         "hints",
         "mean_latency",
@@ -57,6 +61,7 @@
         self.source = None
         self.policy = None
         self.routing = None
+        self.completion = None
         self.subset = []
         self.own_domain = []
         self.reserve = []
@@ -77,6 +82,10 @@
         self.subset = [self.state_of(member) for member in subset]
         self.reserve = [self.state_of(member) for member in reserve]
         self.own_domain = self.find_own_domain(local)
+        if routing.score != "completion":
+            self.completion = None
+        elif self.completion is None:
+            self.completion = CompletionModel()
         self.prune()
 
     def find_own_domain(self, local):
@@ -127,6 +136,8 @@
         if answer.load is not None:
             state.update_load(answer.load, at)
             self.hints.update(answer.load, at)
+            if self.completion is not None:
+                self.completion.record(state, path_key, answer, elapsed, at)
         if answer.kind is None:
             self.record_answer(state, answer, elapsed, at)
         elif answer.kind is ErrorKind.LEAVING:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
@@ -70,6 +70,8 @@
         the rest of the subset.
         """
         max_usage = pool.routing.own_domain_usage
+        if pool.completion is not None:
+            return self.pick_own_pair(pool, call, excluded, at)
         candidates = [
             (usage, number)
             for number, one in enumerate(pool.own_domain)
@@ -80,6 +82,26 @@
         ]
         return pool.own_domain[min(candidates)[1]] if candidates else None
 
+    def pick_own_pair(self, pool, call, excluded, at):
+        """Return the better of two random ones of the own domain, or None."""
+        if not pool.own_domain:
+            return None
+        max_usage = pool.routing.own_domain_usage
+        drawn = pool.own_domain
+        if len(drawn) > 1:
+            drawn = self.draw(drawn)
+        candidates = [
+            one
+            for one in drawn
+            if one.member.name not in excluded
+            and one.is_healthy(pool.mean_latency, at)
+            and one.usage(at) < max_usage
+            and self.accepts(one, call, call.level, at)
+        ]
+        if not candidates:
+            return None
+        return self.better(pool, candidates[0], candidates[-1], at)
+
     def pick(self, pool, upstreams, at):
         """Return the better of two random upstreams."""
         if len(upstreams) == 1:
@@ -97,6 +119,11 @@
 
     def better(self, pool, one, other, at):
         """Return the upstream with the lower score."""
+        model = pool.completion
+        if model is not None:
+            one_score = one.penalized(model.expected(one, at), at)
+            other_score = other.penalized(model.expected(other, at), at)
+            return one if one_score <= other_score else other
         use_latency = pool.routing.prefer_own_domain
         one_score = one.score(pool.mean_latency, use_latency, at)
         other_score = other.score(pool.mean_latency, use_latency, at)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -232,6 +232,7 @@
         "failure_domain": upstream.member.failure_domain,
         "in_flight": upstream.in_flight,
         "usage": round(upstream.usage(at), 3),
+        "slowdown": round(upstream.host.slowdown_at(at), 2),
         "latency_ms": round(upstream.latency * 1_000.0, 3),
         "error_share": round(upstream.error_rate, 3),
         "ejected": upstream.ejection.active(at),
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
@@ -3,6 +3,7 @@
 from math import exp
 
 from papayabay_daemon._internal.interfaces import MemberState
+from papayabay_daemon._internal.routing.completion import HostEstimate
 from papayabay_daemon._internal.routing.ejection import Ejection
 from papayabay_daemon._internal.routing.hints import AdmissionHints
 
@@ -60,6 +61,8 @@
     error_rate : float
         Moving average of the target's own 5xx answers, the latest of which
         came at `failed_at`.
+    host : HostEstimate
+        Used if policy compares upstreams by expected completion.
     leaving_until : float
         Time until which it gets no calls because it reported that it is
         leaving.
@@ -70,6 +73,7 @@
         "error_rate",
         "failed_at",
         "hints",
+        "host",
         "in_flight",
         "incarnation",
         "latency",
@@ -107,6 +111,7 @@
         self.failed_at = 0.0
         self.leaving_until = 0.0
         self.hints = AdmissionHints(self.service_hints)
+        self.host = HostEstimate()
         self.ejection.end_early()
 
     def is_available(self, at):
@@ -212,7 +217,13 @@
         at : float
         """
         usage = 1.0 + self.usage(at)
-        score = usage * usage
+        score = self.penalized(usage * usage, at)
+        if use_latency:
+            score *= self.expected_latency(mean_latency, at)
+        return score
+
+    def penalized(self, score, at):
+        """Return a score raised by failures and suspicion."""
         if self.error_rate:
             score *= 1.0 + self.error_penalty(at)
         # Failing upstreams that may not be ejected can still be chosen.
@@ -220,6 +231,4 @@
             score *= 1.0 + self.ejection.penalty(at)
         if self.member.state:
             score *= SUSPECT_PENALTY
-        if use_latency:
-            score *= self.expected_latency(mean_latency, at)
         return score
