--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -23,7 +23,7 @@
     """
     return {
         "calls": partial(asdict, daemon.call_components.counters),
-        "admission": daemon.admission.counters.plain,
+        "admission": partial(admission_counters, daemon.admission),
         "work": partial(work_counters, daemon),
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
@@ -44,6 +44,12 @@
     }
 
 
+def admission_counters(admission):
+    """Return the counters of admission, and the slow spells of the host."""
+    slow_spells = admission.host_speed.slow_spells
+    return {**admission.counters.plain(), "slow_spells": slow_spells}
+
+
 def key_counters(gate):
     """Return the counters of idempotency keys and of the key table."""
     return {**gate.counters, **gate.key_table.counters}
