Count overtaken calls with a depth as refusals for the threshold

Cause: with `queue_order = "due"` calls of the worst ranks may wait until their deadline, and the threshold falls only after a refusal. In chain-8.scenario they kept slots of seven services occupied.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -6,7 +6,11 @@
 from papayabay_daemon._internal.admission.admit_level import LAST_CRITICAL
 from papayabay_daemon._internal.admission.overload import QUIET_SECONDS
 from papayabay_daemon._internal.admission.queues import bucket_of
-from papayabay_daemon._internal.admission.ranked import CRITICAL_WAIT_SHARE, Ranked
+from papayabay_daemon._internal.admission.ranked import (
+    CRITICAL_WAIT_SHARE,
+    DEEP_WAIT_FACTOR,
+    Ranked,
+)
 from papayabay_daemon._internal.admission.request_queue import RequestQueue
 
 log = logbook.Logger("papayabay.admission")
@@ -73,27 +77,35 @@
         max_wait_s = self.max_wait(call, now)
         if max_wait_s <= 0.0:
             return call.expires_at
+        if call.depth:
+            usual_s = self.control.inputs.settings.queue_max_ms / 1_000
+            max_wait_s = min(max_wait_s, DEEP_WAIT_FACTOR * usual_s)
         return min(call.expires_at, now + max_wait_s)
 
     def recheck(self, waiting, now):
-        """Refuse a call that was overtaken or that can't be in time."""
-        if self.was_overtaken(waiting) or not self.is_feasible(waiting, now):
+        """Refuse a call that was overtaken or that can't be in time.
+
+        A call with a depth may be overtaken for as long as it can be in time,
+        but it counts as refused for the threshold. Otherwise the queue would
+        fill with calls of the worst ranks, which keep slots of the upstream
+        services occupied and are refused only when their time is over.
+        """
+        call = waiting.call
+        overtaken = self.was_overtaken(waiting)
+        if not self.is_feasible(waiting, now) or (overtaken and not call.depth):
             self.refuse_and_hold(waiting, now)
-        else:
-            waiting.recheck_at = self.recheck_time(waiting.call, now)
+            return
+        if overtaken and call.importance is not Importance.CRITICAL:
+            self.threshold.record_refusal(call.importance)
+        waiting.recheck_at = self.recheck_time(call, now)
 
     def was_overtaken(self, waiting):
-        """Whether a later call of higher priority was served first.
-
-        A call with a depth may be overtaken for as long as it can be in time.
-        """
-        if waiting.call.depth:
-            return False
+        """Whether a later call of higher priority was served first."""
         own = overtaking_key(waiting.call)
         return any(
             number > waiting.number
             for order, number in self.newest_served.items()
-            if order < own
+            if order < own or (order == own and waiting.call.depth)
         )
 
     def next_call(self, now):
--- a/tests/unit/daemon/test_admission_slack.py
+++ b/tests/unit/daemon/test_admission_slack.py
@@ -100,6 +100,25 @@
         self.assertLess(control.load("p").admit_level, 65_535)
         self.assertFalse(control.counters.refused)
 
+    @in_virtual_time
+    async def test_overtaken_deep_calls_lower_the_threshold(self, clock):
+        """Guards against queues full of calls that are served too late."""
+        control = make_control(clock, slots=1, queue_order="due")
+        await train(control, clock, 0.02)
+        running, levels = await control.admit(make_call(clock)), set()
+        worst = [make_call(clock, rank=60_000, depth=1) for _ in range(20)]
+        waiting = [start_admit(control, call) for call in worst]
+        for _ in range(40):
+            better = start_admit(control, make_call(clock, rank=9, depth=1))
+            await asyncio.sleep(0.02)
+            running.finish(OK)
+            running = await better
+            levels.add(control.load("p").admit_level)
+        self.assertLess(min(levels), 130_000)
+        self.assertFalse(control.counters.refused)
+        for task in waiting:
+            task.cancel()
+
 
 class LoadTests(unittest.TestCase):
     def test_chains_complete_in_an_overload(self):
