--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -322,15 +322,25 @@
             if error is not None:
                 raise error
         hold_s = self.inputs.settings.overload_hold_ms / 1_000
-        if self.inputs.decisions.upstream_refusal and self.downstream.refuses(
-            call, hold_s, now
-        ):
+        if self.heeds_downstream(call) and self.downstream.refuses(call, hold_s, now):
             self.counters.downstream_refused += 1
             raise self.overload_error(call, now)
         if scheme.refuses(call, now):
             self.overload.refused(call.importance, now)
             raise self.overload_error(call, now)
 
+    def heeds_downstream(self, call):
+        """Return whether a call is refused if a downstream service would.
+
+        With `queue_order = "due"` a call of a request that has begun is not:
+        the request was admitted at its entry, and refusing it halfway wastes
+        the work that was done for it.
+        """
+        decisions = self.inputs.decisions
+        if decisions.queue_order == "due" and call.depth:
+            return False
+        return decisions.upstream_refusal
+
     def enqueue(self, call, now):
         self.arrivals += 1
         future = asyncio.get_running_loop().create_future()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -11,8 +11,13 @@
     DEEP_WAIT_FACTOR,
     Ranked,
 )
-from papayabay_daemon._internal.admission.request_queue import RequestQueue
+from papayabay_daemon._internal.admission.request_queue import (
+    CLASSES,
+    RequestQueue,
+)
 
+FIRST_OTHER_GROUP = CLASSES * (Importance.CRITICAL + 1)
+"""First group of a `RequestQueue` whose calls are not critical."""
 log = logbook.Logger("papayabay.admission")
 
 
@@ -40,6 +45,36 @@
         self.queue.push(waiting)
         self.displace(waiting, now)
 
+    def refuses(self, call, now):
+        """Refuse other classes for a while after refusing a critical call.
+
+        Calls of requests that have begun are exempt.
+        """
+        if not call.depth:
+            return super().refuses(call, now)
+        self.threshold.record_arrival(call.level, now)
+        return False
+
+    def refuse_other_classes(self, now):
+        """Refuse all waiting calls that are not critical and have no depth."""
+        while worst := self.queue.peek_worst_new(FIRST_OTHER_GROUP):
+            self.control.counters.inversions_avoided += 1
+            self.refuse(worst, now)
+
+    def pressure(self, now):
+        """Return the queueing time above its target, and the slot utilization.
+
+        Calls of requests that have begun wait instead of being refused, so a
+        queueing time above the longest one of other calls counts as a refusal
+        that lowers the threshold.
+        """
+        excess_s, utilization = super().pressure(now)
+        settings = self.control.inputs.settings
+        max_excess_s = (settings.queue_max_ms - settings.queue_target_ms) / 1_000
+        if excess_s > max_excess_s:
+            self.threshold.record_refusal(Importance.SHEDDABLE)
+        return excess_s, utilization
+
     def start_by(self, call):
         """Return when a call needs a slot to be answered when it is due."""
         due_at = call.expires_at if call.due_at is None else call.due_at
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/request_queue.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/request_queue.py
@@ -74,6 +74,19 @@
         self.discard(waiting)
         return waiting
 
+    def peek_worst_new(self, first_group):
+        """Return the worst call without a depth, or None.
+
+        Parameters
+        ----------
+        first_group : int
+            Groups before this one are left out.
+        """
+        for lane in reversed(self.without_depth[first_group:]):
+            if lane:
+                return lane[-1][-1]
+        return None
+
     def peek_worst(self):
         """Return the call to refuse first, without removing it, or None."""
         if not self.size:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
@@ -100,6 +100,15 @@
             return ADMIT_ALL
         return level + int((ADMIT_ALL - level) * (stale_for / RELAX_SECONDS))
 
+    def refuses_new(self, call, level, at):
+        """Return whether the upstream is expected to refuse a new request.
+
+        Unlike `refuses`, it also holds back critical requests for as long as
+        a level is known: an overload by critical requests alone ends only if
+        their entries refuse a part of them.
+        """
+        return level > self.level(call.path_key, at)
+
     def refuses(self, call, level, at):
         """Return whether the upstream is expected to refuse a call."""
         if level <= self.level(call.path_key, at):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
@@ -140,6 +140,22 @@
         return not upstream.hints.refuses(call, level, at)
 
 
+class WholeRequests(TwoChoices):
+    """Two choices that refuse requests early at their entries only.
+
+    A call of a request that has begun is sent whatever level its upstreams
+    admit: they order it by rank, and refuse it only if it can't be in time.
+    """
+
+    __slots__ = ()
+
+    def accepts(self, upstream, call, level, at):
+        """Return whether the call may be sent to the upstream."""
+        if call.depth or not self.upstream_refusal:
+            return True
+        return not upstream.hints.refuses_new(call, level, at)
+
+
 class RoundRobin:
     """Picks the upstreams in turn; a baseline for benchmarks."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -7,7 +7,11 @@
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.routing.ejection_log import EjectionLog
 from papayabay_daemon._internal.routing.pool import Pool
-from papayabay_daemon._internal.routing.strategies import RoundRobin, TwoChoices
+from papayabay_daemon._internal.routing.strategies import (
+    RoundRobin,
+    TwoChoices,
+    WholeRequests,
+)
 
 MAX_POOLS = 4_096
 RETRY_AFTER_MS = {
@@ -40,13 +44,18 @@
         self.round_robin = RoundRobin()
         self.with_hints = TwoChoices(random, True)
         self.without_hints = TwoChoices(random, False)
+        self.whole_requests = WholeRequests(random, True)
         self.ejections = EjectionLog()
 
     def strategy(self, decisions):
         """Return the strategy that policy selects."""
         if decisions.routing == "round-robin":
             return self.round_robin
-        return self.with_hints if decisions.upstream_refusal else self.without_hints
+        if not decisions.upstream_refusal:
+            return self.without_hints
+        if decisions.queue_order == "due":
+            return self.whole_requests
+        return self.with_hints
 
     def choose(self, call, excluded):
         """Return the member to send an attempt to.
