Build less for refused requests and for lines beyond the limit

Cause: a refused request formatted its problem body, header list and names anew, and the inputs of its decision lines were collected before the log's rate limit was asked. Enum.name and Enum.value are functions in Python. Change: problem bodies and answer heads are formatted once for each error kind; names come from tables; DecisionLog.acquire is asked first. The lines that are written stay the same. Tests: details can't break out of a body, and inputs aren't collected beyond the limit.

--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -15,12 +15,20 @@
 
     ``NOT_RUN`` is a guarantee: the request was never forwarded to a target,
     or the target refused it before running it.
+
+    Attributes
+    ----------
+    text : str
+        The value; `Enum.value` takes several function calls.
     """
 
     NOT_RUN = "not-run"
     RUN = "run"
     UNKNOWN = "unknown"
 
+    def __init__(self, text):
+        self.text = text
+
 
 class Retry(Enum):
     """Retry advice to the caller."""
@@ -202,6 +210,12 @@
 }
 
 
+KIND_NAMES = {kind: kind.name for kind in ErrorKind}
+"""Names of the error kinds; `Enum.name` takes several function calls."""
+KIND_LABELS = {kind: kind.name.lower() for kind in ErrorKind}
+"""The names as decision lines have them."""
+
+
 class CallError(Exception):
     """Ends a call with one of the error kinds.
 
@@ -215,7 +229,8 @@
     """
 
     def __init__(self, kind, detail="", retry_after_ms=0):
-        super().__init__(f"{kind.name}: {detail}" if detail else kind.name)
+        name = KIND_NAMES[kind]
+        super().__init__(f"{name}: {detail}" if detail else name)
         self.kind = kind
         self.detail = detail
         self.retry_after_ms = retry_after_ms
@@ -230,9 +245,8 @@
 """Header field of answers whose body is made by `problem_body`."""
 
 
-def problem_body(kind, detail="", request_id="", retry_after_ms=0):
-    """Return JSON problem details (RFC 9457) for an error kind, as bytes."""
-    answer = ERROR_ANSWERS[kind]
+def problem_start(kind, answer):
+    """Return the members that are the same in all bodies of an error kind."""
     problem = {
         "type": f"urn:papayabay:error:{kind.name.lower().replace('_', '-')}",
         "title": answer.title,
@@ -240,10 +254,22 @@
         "effect": answer.effect.value,
         "retry": answer.retry.value,
     }
+    return json.dumps(problem).removesuffix("}")
+
+
+PROBLEM_STARTS = {
+    kind: problem_start(kind, answer) for kind, answer in ERROR_ANSWERS.items()
+}
+"""Formatted once, since most answers of an overloaded daemon are refusals."""
+
+
+def problem_body(kind, detail="", request_id="", retry_after_ms=0):
+    """Return JSON problem details (RFC 9457) for an error kind, as bytes."""
+    body = PROBLEM_STARTS[kind]
     if detail:
-        problem["detail"] = detail
+        body += f', "detail": {json.dumps(detail)}'
     if request_id:
-        problem["request"] = request_id
+        body += f', "request": {json.dumps(request_id)}'
     if retry_after_ms:
-        problem["retry_after_ms"] = retry_after_ms
-    return json.dumps(problem).encode()
+        body += f', "retry_after_ms": {retry_after_ms}'
+    return (body + "}").encode()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from papayabay_core.calls import Call
-from papayabay_core.errors import CallError, Effect, ErrorKind
+from papayabay_core.errors import KIND_NAMES, CallError, Effect, ErrorKind
 from papayabay_core.policy.accounts import Account
 from papayabay_core.utils.clock import now
 from papayabay_core.utils.identifiers import new_identifier
@@ -107,22 +107,26 @@
             self.end_request()
         elapsed = now() - started
         self.count_answer(rule, answer, elapsed)
-        if answer.kind is not None:
-            self.components.log.record_answer(
-                request_id,
-                answer,
-                method=incoming.method,
-                service=incoming.service,
-                path=rule.path_key if rule else incoming.path,
-                parent=incoming.call_token,
-                account=incoming.account,
-                took_ms=round(elapsed * 1_000, 1),
-                **self.work_fields(rule),
-            )
+        if answer.kind is not None and self.components.log.acquire():
+            self.log_answer(incoming, request_id, rule, answer, elapsed)
         if not incoming.request_id:
             answer.headers = [*answer.headers, (REQUEST_HEADER, request_id)]
         return answer
 
+    def log_answer(self, incoming, request_id, rule, answer, elapsed):
+        """Write the line of a request that papayabay itself answered."""
+        self.components.log.write_answer(
+            request_id,
+            answer,
+            method=incoming.method,
+            service=incoming.service,
+            path=rule.path_key if rule else incoming.path,
+            parent=incoming.call_token,
+            account=incoming.account,
+            took_ms=round(elapsed * 1_000, 1),
+            **self.work_fields(rule),
+        )
+
     def begin_request(self):
         """Count a request that a shutdown has to wait for."""
         self.in_flight += 1
@@ -367,7 +371,7 @@
 
     def count_answer(self, rule, answer, elapsed):
         """Count a request's answer by error kind and for its objective."""
-        name = answer.kind.name if answer.kind else "ANSWERED"
+        name = KIND_NAMES[answer.kind] if answer.kind else "ANSWERED"
         answered = self.components.counters.answered
         answered[name] = answered.get(name, 0) + 1
         if rule is not None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -1,6 +1,6 @@
 """Callee side of a call: admission, the run on the target and the answer."""
 
-from papayabay_core.errors import CallError, ErrorKind
+from papayabay_core.errors import KIND_LABELS, CallError, ErrorKind
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.lifetime.ranks import per_hop_rank
@@ -67,16 +67,7 @@
         """Log the refusal of a call and return the answer for it."""
         load = self.components.admission.load(call.path_key)
         self.components.log.record(
-            "admission",
-            call.request_id,
-            outcome=error.kind.name.lower(),
-            level=call.level,
-            left_ms=round(call.remaining() * 1_000),
-            in_flight=load.in_flight,
-            queued=load.queued,
-            limit=load.limit,
-            admits=load.admit_level,
-            retry_after_ms=error.retry_after_ms,
+            "admission", call.request_id, refusal_inputs, call, error, load
         )
         return error_answer(error, call.credits, load)
 
@@ -158,3 +149,17 @@
                 listener(live, answer)
             if live.steps is not None and not answer.failed:
                 self.tree.slack.end_run(live, now())
+
+
+def refusal_inputs(call, error, load):
+    """Return the inputs of the decision line on a refused call."""
+    return {
+        "outcome": KIND_LABELS[error.kind],
+        "level": call.level,
+        "left_ms": round(call.remaining() * 1_000),
+        "in_flight": load.in_flight,
+        "queued": load.queued,
+        "limit": load.limit,
+        "admits": load.admit_level,
+        "retry_after_ms": error.retry_after_ms,
+    }
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/decision_log.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/decision_log.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from papayabay_core.errors import KIND_LABELS
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.log_lines import LineRateLimit
 
@@ -34,8 +35,32 @@
         """Whether lines are written; if not, no inputs need be collected."""
         return self.writer is not None
 
-    def record(self, decision, call_id, **inputs):
-        """Write one decision.
+    def acquire(self):
+        """Return whether a line is to be written; if so, it must be written.
+
+        Asked before the inputs of a line are collected: in an overload, most
+        lines exceed the rate limit.
+        """
+        return self.writer is not None and self.rate_limit.acquire()
+
+    def record(self, decision, call_id, collect=None, *args, **inputs):
+        """Write one decision, as `write`, if the rate limit allows it.
+
+        Parameters
+        ----------
+        decision, call_id : str
+        collect : callable or None
+            Returns the inputs as a dict; called only if the line is written.
+        args : tuple
+            Arguments of `collect`.
+        inputs : dict
+            The inputs if there is no `collect`.
+        """
+        if self.acquire():
+            self.write(decision, call_id, **(collect(*args) if collect else inputs))
+
+    def write(self, decision, call_id, **inputs):
+        """Write one decision after `acquire` has returned True.
 
         Parameters
         ----------
@@ -47,8 +72,6 @@
             The inputs of the decision, with ages in milliseconds, and its
             outcome.
         """
-        if not self.enabled or not self.rate_limit.acquire():
-            return
         line = {
             "time": datetime.fromtimestamp(time.time(), UTC),
             "decision": decision,
@@ -83,7 +106,9 @@
         """
         if number == 1 and answer is not None and is_success(answer):
             return
-        self.record(
+        if not self.acquire():
+            return
+        self.write(
             "attempt",
             call.request_id,
             service=call.service,
@@ -98,13 +123,16 @@
             took_ms=round(elapsed * 1_000, 1),
         )
 
-    def record_answer(self, call_id, answer, **inputs):
-        """Write that papayabay itself answered a request, and why."""
-        self.record(
+    def write_answer(self, call_id, answer, **inputs):
+        """Write that papayabay itself answered a request, and why.
+
+        Called after `acquire` has returned True.
+        """
+        self.write(
             "answer",
             call_id,
             outcome=outcome_of(answer),
-            effect=answer.effect.value,
+            effect=answer.effect.text,
             retry_after_ms=answer.retry_after_ms,
             **inputs,
         )
@@ -131,4 +159,4 @@
     """Return the name of an attempt's outcome; `answer` may be None."""
     if answer is None:
         return "cancelled"
-    return "answered" if answer.kind is None else answer.kind.name.lower()
+    return "answered" if answer.kind is None else KIND_LABELS[answer.kind]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/dialect.py
@@ -87,7 +87,7 @@
     def final_header_lines(self, answer):
         """Return the Via field and the field with the call's effect."""
         name, value = rules.VIA
-        return f"{name}: {value}\r\n{EFFECT_HEADER}: {answer.effect.value}\r\n"
+        return f"{name}: {value}\r\n{EFFECT_HEADER}: {answer.effect.text}\r\n"
 
 
 def read_service(control):
--- a/tests/unit/core/test_errors.py
+++ b/tests/unit/core/test_errors.py
@@ -123,6 +123,16 @@
                     },
                 )
 
+    def test_body_is_valid_json_whatever_the_detail_holds(self):
+        """Guards against a detail that breaks out of the preformatted body.
+
+        Details may quote a caller's text.
+        """
+        text = 'a "quoted" \\ part\n, "effect": "run", \u00e4\udcff'
+        problem = json.loads(problem_body(ErrorKind.EXPIRED, text, text, 7))
+        self.assertEqual((problem["detail"], problem["request"]), (text, text))
+        self.assertEqual(problem["effect"], "unknown")
+
     def test_detail_request_and_retry_after_are_added(self):
         problem = json.loads(problem_body(ErrorKind.OVERLOADED, "full", "r-1", 250))
         known = (problem["detail"], problem["request"], problem["retry_after_ms"])
--- a/tests/unit/daemon/test_log_lines.py
+++ b/tests/unit/daemon/test_log_lines.py
@@ -114,5 +114,13 @@
         (line,) = self.lines()
         self.assertEqual(line["left_out"], 50)
 
+    def test_inputs_are_not_collected_beyond_the_limit(self):
+        """An overloaded daemon must not spend time on lines it can't write."""
+        for number in range(int(BURST_LINES)):
+            self.log.record("admission", f"r{number}", outcome="overloaded")
+        self.log.record_attempt(None, 1, None, None, 0.01)
+        self.assertFalse(self.log.acquire())
+        self.assertEqual(self.log.rate_limit.suppressed, 2)
+
     def test_nothing_is_written_without_a_writer(self):
         DecisionLog().record("attempt", "r1")
