--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -5,7 +5,7 @@
 from operator import attrgetter
 
 from papayabay_core.errors import Effect, ErrorKind
-from papayabay_core.importance import ADMIT_ALL, Importance, level_of
+from papayabay_core.importance import ADMIT_ALL, RANK_BITS, Importance
 from papayabay_core.utils.clock import now
 
 
@@ -126,7 +126,8 @@
     @property
     def level(self):
         """The admission level of the call; see `importance.level_of`."""
-        return level_of(self.importance, self.rank)
+        # As `level_of` but without its call; routing reads it for each choice.
+        return (self.importance << RANK_BITS) | self.rank
 
     def remaining(self):
         """Return the seconds until the deadline; negative once expired."""
--- a/packages/papayabay-core/src/papayabay_core/http/heads.py
+++ b/packages/papayabay-core/src/papayabay_core/http/heads.py
@@ -1,7 +1,5 @@
 """Heads of HTTP messages, collected from the callbacks of a parser."""
 
-from functools import cached_property
-
 MAX_HEADER_FIELDS = 256
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
@@ -16,16 +14,19 @@
         Request target; empty for an answer.
     fields : list of (bytes, bytes)
         Names and values in their original order and spelling.
+
+    Attributes
+    ----------
+    first : dict of bytes to bytes
+        The first value of each field, by lower-case name.
     """
 
     def __init__(self, fields, target=b""):
         self.fields = fields
         self.target = target
-
-    @cached_property
-    def first(self):
-        """The first value of each field, by lower-case name."""
-        return {name.lower(): value for name, value in reversed(self.fields)}
+        # Not a cached property: its lock costs more than the dictionary, and
+        # each message needs it.
+        self.first = {name.lower(): value for name, value in reversed(fields)}
 
     @property
     def length(self):
@@ -41,7 +42,10 @@
     @property
     def has_body(self):
         """Whether a request with this head has a body."""
-        return TRANSFER_ENCODING in self.first or bool(self.length)
+        first = self.first
+        if TRANSFER_ENCODING in first:
+            return True
+        return CONTENT_LENGTH in first and bool(self.length)
 
 
 class HeaderCollector:
--- a/packages/papayabay-core/src/papayabay_core/policy/routes.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/routes.py
@@ -71,7 +71,10 @@
         """
         plain = path.partition("?")[0]
         routes = self.hosts.get(host.lower(), ())
-        return next((r for r in routes if plain.startswith(r.prefix)), None)
+        for route in routes:
+            if plain.startswith(route.prefix):
+                return route
+        return None
 
 
 def compile_route(declaration: RouteDeclaration):
--- a/packages/papayabay-core/src/papayabay_core/policy/rule.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/rule.py
@@ -1,6 +1,6 @@
 """The policy rule of one call path."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from papayabay_core.importance import Importance
 from papayabay_core.policy.document import Objective
@@ -32,6 +32,8 @@
         credits limit it.
     public : bool
         Whether requests need no account key.
+    path_key : str
+        Key under which load and service times of this path are tracked.
     """
 
     service: str
@@ -44,8 +46,8 @@
     objective: Objective | None = None
     attempts: int = 0
     public: bool = False
+    path_key: str = field(init=False, repr=False, compare=False)
 
-    @property
-    def path_key(self):
-        """Key under which load and service times of this path are tracked."""
-        return f"{self.service}/{self.name}"
+    def __post_init__(self):
+        # Set once, since each call reads it several times.
+        object.__setattr__(self, "path_key", f"{self.service}/{self.name}")
--- a/packages/papayabay-core/src/papayabay_core/policy/rules.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/rules.py
@@ -2,6 +2,7 @@
 
 import re
 from dataclasses import dataclass
+from operator import attrgetter
 
 from papayabay_core.importance import Importance
 from papayabay_core.policy.accounts import AccountTable
@@ -59,10 +60,10 @@
         self.routes = RouteTable(self.document.routes)
         self.accounts = AccountTable(self.document.accounts)
 
-    @property
-    def decisions(self) -> Decisions:
-        """The algorithms used for decisions."""
-        return self.document.decisions
+    # Read several times for each call, so without a function in Python.
+    decisions: Decisions = property(
+        attrgetter("document.decisions"), doc="The algorithms used for decisions."
+    )
 
     @property
     def authentication(self) -> Authentication:
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -1,6 +1,7 @@
 """Builds the daemon from its components and supervises them."""
 
 import random
+from functools import partial
 
 from papayabay_daemon._internal.accounts import (
     Authenticator,
@@ -103,6 +104,8 @@
             self.random,
             version_reader=environment.version_reader,
         )
+        # Called several times for each call, so not a function in Python.
+        self.policy = partial(getattr, self.configuration.version, "policy")
 
     def build_decisions(self):
         """Build what decides on calls: admission, routing, retries, target."""
@@ -291,10 +294,6 @@
             children.append(Child("settings file", self.settings_file.run))
         self.supervisor = Supervisor("daemon", children)
 
-    def policy(self):
-        """Return the policy in force."""
-        return self.configuration.policy
-
     def gauges(self):
         """Return the gauges of the metrics by dotted name."""
         gauges = {
