Raise the threshold slowly where requests keep their room

The threshold rose again within a few windows, before the first calls of the requests that it admitted had come, and an entry sent a request if any of twelve upstreams had reported a level that admits it.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/admit_level.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/admit_level.py
@@ -1,5 +1,7 @@
 """The admission threshold that callers' daemons use to refuse calls early."""
 
+from dataclasses import dataclass
+
 from papayabay_core.importance import ADMIT_ALL, Importance, level_of
 from papayabay_daemon._internal.admission.queues import (
     BUCKET_SHIFT,
@@ -18,10 +20,6 @@
 SURPLUS = 1.1
 """Wanted load at the target queueing time, as a multiple of the capacity."""
 MAX_RAISE_BUCKETS = 40
-RAISE_SHARE = 0.35
-"""Share of the idle slot time that the first window without overload fills."""
-RAISE_GROWTH = 2.0
-"""Factor by which `RAISE_SHARE` grows with each further such window."""
 MAX_GROWTH_WINDOWS = 12
 MIN_UTILIZATION = 0.1
 MIN_MEAN_UTILIZATION = 0.5
@@ -32,6 +30,23 @@
 LAST_CRITICAL = bucket_of(level_of(Importance.NORMAL, 0)) - 1
 
 
+@dataclass(frozen=True, slots=True)
+class RaisePace:
+    """How fast the threshold rises while slots are idle.
+
+    Attributes
+    ----------
+    share : float
+        Share of the idle slot time that the first window without overload
+        fills.
+    growth : float
+        Factor by which `share` grows with each further such window.
+    """
+
+    share: float = 0.35
+    growth: float = 2.0
+
+
 class AdmitLevel:
     """Adapts the threshold to the load that the target can serve.
 
@@ -54,10 +69,12 @@
     pressure : callable
         Takes `now`; returns the queueing time minus its target, in seconds,
         and the share of slot time that was used since the previous call.
+    pace : RaisePace
     """
 
-    def __init__(self, pressure):
+    def __init__(self, pressure, pace=RaisePace()):
         self.pressure = pressure
+        self.pace = pace
         self.bucket = LAST_BUCKET
         self.window_end = 0.0
         self.arrivals = [0.0] * BUCKETS
@@ -155,7 +172,8 @@
         """
         idle = max(0.0, 1.0 - utilization)
         missing = self.served_calls * idle / max(utilization, MIN_UTILIZATION)
-        share = RAISE_SHARE * RAISE_GROWTH ** min(self.calm_windows, MAX_GROWTH_WINDOWS)
+        calm_windows = min(self.calm_windows, MAX_GROWTH_WINDOWS)
+        share = self.pace.share * self.pace.growth**calm_windows
         filling = share * missing / max(self.density(), MIN_DENSITY)
         self.calm_windows += 1
         step = windows * min(MAX_RAISE_BUCKETS * idle, max(1.0, filling))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -3,7 +3,11 @@
 import logbook
 
 from papayabay_core.importance import Importance
-from papayabay_daemon._internal.admission.admit_level import LAST_CRITICAL
+from papayabay_daemon._internal.admission.admit_level import (
+    LAST_CRITICAL,
+    AdmitLevel,
+    RaisePace,
+)
 from papayabay_daemon._internal.admission.overload import QUIET_SECONDS
 from papayabay_daemon._internal.admission.queues import bucket_of
 from papayabay_daemon._internal.admission.ranked import (
@@ -16,6 +20,10 @@
     RequestQueue,
 )
 
+RAISE_PACE = RaisePace(share=0.1, growth=1.2)
+"""Calls of newly admitted requests arrive here for up to a second after their
+entries were told of a higher threshold. A faster rise admits more requests
+than can be served before the first of their calls is counted."""
 FIRST_OTHER_GROUP = CLASSES * (Importance.CRITICAL + 1)
 """First group of a `RequestQueue` whose calls are not critical."""
 log = logbook.Logger("papayabay.admission")
@@ -34,6 +42,7 @@
     def __init__(self, control):
         super().__init__(control)
         self.queue = RequestQueue()
+        self.threshold = AdmitLevel(self.pressure, RAISE_PACE)
         self.critical_refused_at = None
 
     def enqueue(self, waiting, now):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
@@ -94,11 +94,7 @@
         if stale_for > 0.0 and self.service_hints is not None:
             return self.service_hints.level(path_key, at)
         level = min(self.own_level, self.path_levels.get(path_key, ADMIT_ALL))
-        if stale_for <= 0.0 or level >= ADMIT_ALL:
-            return level
-        if stale_for >= RELAX_SECONDS:
-            return ADMIT_ALL
-        return level + int((ADMIT_ALL - level) * (stale_for / RELAX_SECONDS))
+        return self.relaxed(level, at)
 
     def refuses_new(self, call, level, at):
         """Return whether the upstream is expected to refuse a new request.
@@ -107,7 +103,28 @@
         a level is known: an overload by critical requests alone ends only if
         their entries refuse a part of them.
         """
-        return level > self.level(call.path_key, at)
+        service = self.service_hints or self
+        if level > service.path_level(call.path_key, at):
+            return True
+        return level > self.relaxed(self.own_level, at)
+
+    def path_level(self, path_key, at):
+        """Return the level that the services below admit on a path.
+
+        All upstreams of a service call the same services below. Each one's
+        figure is late or early by chance, and if any of them sufficed, the
+        highest would decide.
+        """
+        return self.relaxed(self.path_levels.get(path_key, ADMIT_ALL), at)
+
+    def relaxed(self, level, at):
+        """Return a reported level, relaxed for the time since its answer."""
+        stale_for = at - self.updated_at - HINT_TTL_SECONDS
+        if stale_for <= 0.0 or level >= ADMIT_ALL:
+            return level
+        if stale_for >= RELAX_SECONDS:
+            return ADMIT_ALL
+        return level + int((ADMIT_ALL - level) * (stale_for / RELAX_SECONDS))
 
     def refuses(self, call, level, at):
         """Return whether the upstream is expected to refuse a call."""
