--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
@@ -1,6 +1,7 @@
 """Announcements, by which a target registers with its daemon."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields
+from operator import attrgetter
 from typing import Annotated
 from urllib.parse import urlsplit
 
@@ -109,7 +110,12 @@
 
     def equals_except_sequence(self, other):
         """Whether another announcement differs only in its sequence number."""
-        return replace(self, sequence=0) == replace(other, sequence=0)
+        return values_except_sequence(self) == values_except_sequence(other)
+
+
+values_except_sequence = attrgetter(
+    *(field.name for field in fields(Announcement) if field.name != "sequence")
+)
 
 
 class AnnounceMessage(Strict, frozen=True, kw_only=True):
