Take layers that only await the next one out of a call

Cause: a call passed through coroutines that did nothing but await another one. Change: run_entered, run_root, the doors' run, Links.call and Links.forward return the next coroutine; the closure for dispatching is made only for calls that pass the gate; run_admitted is part of receive. An admitted call at its entry has five coroutines less.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -1,6 +1,7 @@
 """Calls that start at this daemon: requests of callers and of its target."""
 
 import asyncio
+from functools import partial
 
 import xxhash
 
@@ -179,15 +180,18 @@
             return await self.run_returning(call, rule, identity)
         return await self.run_entered(call, rule, identity)
 
-    async def run_entered(self, call, rule, identity):
+    # The functions without `async` return a coroutine of the next layer: each
+    # layer that only awaits another one costs every call a coroutine more.
+
+    def run_entered(self, call, rule, identity):
         """Run a caller's request, within its account's limit if it has one."""
         if identity is None:
-            return await self.run_root(call, rule)
+            return self.run_root(call, rule)
         account = identity.account
         running = self.run_limited(call, rule, account)
         if has_share(account, self.components.policy().decisions):
-            return await self.components.demand_reports.watch(account, running)
-        return await running
+            return self.components.demand_reports.watch(account, running)
+        return running
 
     async def run_returning(self, call, rule, identity):
         """Run a request whose refusal tells a time by the backlog.
@@ -219,11 +223,11 @@
             self.components.limits.refund(account)
         return answer
 
-    async def run_root(self, call, rule):
+    def run_root(self, call, rule):
         """Run the root call of a request."""
         if not self.components.policy().decisions.deadlines:
-            return await self.run_shielded(call, rule)
-        return await self.run(call, rule, None)
+            return self.run_shielded(call, rule)
+        return self.run(call, rule, None)
 
     async def run_shielded(self, call, rule):
         """Run a call to its end even if its caller disconnects."""
@@ -241,20 +245,21 @@
             are created with the first dispatch; a repeat that the gate
             answers from its records costs none.
         """
-
-        async def dispatch(admitted_call):
-            paying_account = (
-                self.entry_account(admitted_call) if account is None else account
-            )
-            return await self.dispatcher.dispatch(admitted_call, paying_account)
-
-        if rule.idempotent or rule.at_most_once == "attempt":
-            return await dispatch(call)
-        if not call.idempotency_key:
+        if not rule.idempotent and rule.at_most_once != "attempt":
+            if call.idempotency_key:
+                dispatch = partial(self.dispatch, account=account)
+                return await self.gate.run(call, rule, dispatch)
             if call.depth == 0:
                 raise CallError(ErrorKind.KEY_MISSING)
-            return await dispatch(call)
-        return await self.gate.run(call, rule, dispatch)
+        if account is None:
+            account = self.entry_account(call)
+        return await self.dispatcher.dispatch(call, account)
+
+    async def dispatch(self, call, account):
+        """Dispatch a call that the gate has admitted; see `run`."""
+        if account is None:
+            account = self.entry_account(call)
+        return await self.dispatcher.dispatch(call, account)
 
     def entry_account(self, call):
         """Return the retry credits of a whole request.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -49,20 +49,16 @@
             call.rank = per_hop_rank(self.components.random)
         try:
             with self.components.quarantine.guard(call):
-                return await self.run_admitted(call)
+                self.check_service(call)
+                account = self.budget.check(call)
+                ticket = await self.admit(call, account)
+                self.budget.record_arrival(call, account)
+                answer = await self.hand_over(call, ticket)
+                self.budget.record_end(call, account, answer)
+                return answer
         except CallError as error:
             return self.refuse(call, error)
 
-    async def run_admitted(self, call):
-        """Run a call once it is admitted; raise `CallError` if it is not."""
-        self.check_service(call)
-        account = self.budget.check(call)
-        ticket = await self.admit(call, account)
-        self.budget.record_arrival(call, account)
-        answer = await self.hand_over(call, ticket)
-        self.budget.record_end(call, account, answer)
-        return answer
-
     def refuse(self, call, error):
         """Log the refusal of a call and return the answer for it."""
         load = self.components.admission.load(call.path_key)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/caller.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/caller.py
@@ -27,13 +27,13 @@
         self.flow = flow
         self.key_minter = key_minter
 
-    async def run(self, incoming):
+    def run(self, incoming):
         """Pass the request to the call flow, without a call token.
 
         Only the target may name the call that it makes a request for.
         """
         incoming.call_token = ""
-        return await self.flow.handle_request(incoming)
+        return self.flow.handle_request(incoming)
 
     async def answer_reserved(self, request):
         """Return a new idempotency key."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/target.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/target.py
@@ -28,9 +28,9 @@
         self.flow = flow
         self.target = target
 
-    async def run(self, incoming):
+    def run(self, incoming):
         """Pass an outgoing call to the call flow."""
-        return await self.flow.handle_outgoing(incoming)
+        return self.flow.handle_outgoing(incoming)
 
     async def answer_reserved(self, request):
         """Register or withdraw the target."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -134,13 +134,13 @@
             if link.is_open:
                 link.send_leaving()
 
-    async def call(self, peer, call):
+    def call(self, peer, call):
         """Send a call and return its answer; see `Links.call`."""
-        return await self.send(peer, call, RUN)
+        return self.send(peer, call, RUN)
 
-    async def forward(self, peer, call):
+    def forward(self, peer, call):
         """Send a call to the home of its key; see `Links.forward`."""
-        return await self.send(peer, call, FORWARD)
+        return self.send(peer, call, FORWARD)
 
     async def send(self, peer, call, purpose):
         """Send a call on the newest link; dial one if there is none."""
