Ignore implausible times and slowdowns of answer frames

Cause: LoadFrame.slowdown was taken as sent. With "completion", 0.0 made CompletionModel.record divide by zero when an attempt ended, so that the answer of a call that the target had run was lost. An infinite service time turned the means of the service into NaN for ever.

Change: decode_load replaces a slowdown outside 0.1 to 100, as the targets' dialect accepts, by 1.0, and a service time that is negative, not a number or above 1e7 ms by 0.0.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -31,6 +31,9 @@
 SEPARATOR = "\0"
 MAX_REMAINING_MS = 2**32 - 1
 MAX_DUE_MS = 2**31 - 1
+MAX_SERVICE_MS = 1e7
+MIN_SLOWDOWN, MAX_SLOWDOWN = 0.1, 100.0
+"""Accepted slowdowns, as of targets. Callers divide by the slowdown."""
 FIRST_ARRAY_BYTE = 0x90
 """The first byte of a MessagePack array is this or greater. A Cap'n Proto
 message starts with its number of segments, which is small in a frame."""
@@ -348,21 +351,26 @@
 
 
 def decode_load(frame):
-    """Return the load state of a frame; raises `ProtocolError`."""
+    """Return the load state of a frame; raises `ProtocolError`.
+
+    NaN, infinity and other implausible times and slowdowns count as not
+    reported: they would stay in the caller's averages for ever.
+    """
     if len(frame.closed) > MAX_PATH_LEVELS:
         raise ProtocolError(f"{len(frame.closed)} closed paths")
     if len(frame.work_ms) > MAX_WORK_SERVICES:
         raise ProtocolError(f"work of {len(frame.work_ms)} services")
+    service_ms, slowdown = frame.service_ms, frame.slowdown
     return LoadState(
         in_flight=frame.in_flight,
         queued=frame.queued,
         limit=frame.limit,
         queue_ms=frame.queue_ms,
-        service_ms=frame.service_ms,
+        service_ms=service_ms if 0.0 <= service_ms <= MAX_SERVICE_MS else 0.0,
         admit_level=frame.admit_level,
         path_levels=frame.closed,
         work_ms=frame.work_ms,
-        slowdown=frame.slowdown,
+        slowdown=slowdown if MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN else 1.0,
     )
 
 
