Accept owners of older releases in account shares

Cause: the adapter sets account_shares at each new daemon by itself, so that entries meet owners of the older release while daemons are replaced. Their replies state no usage, and the default 0.0 was learned as no demand: the account got rank 0 for all its requests. They answer a report without tokens with an error, which marked them as unresponsive, so that token requests got LIMIT_UNKNOWN in an overload. Slots of other usages could be negative.

Change: a usage of 0.0 in a reply is not learned. A ProtocolError on a mere report does not mark the owner; time-outs still do. Slots in replies are validated as in requests.

Conclusion: mixed releases use the entry's own view of the demand.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/messages.py
@@ -12,6 +12,7 @@
 TOPIC = "limits"
 
 Count = Annotated[int, Meta(ge=0, le=2**32 - 1)]
+Slot = Annotated[int, Meta(ge=0, le=255)]
 Usage = Annotated[float, Meta(ge=0.0, le=MAX_USAGE)]
 
 
@@ -46,7 +47,7 @@
     """
 
     account: str
-    slot: Annotated[int, Meta(ge=0, le=255)]
+    slot: Slot
     wanted: Annotated[int, Meta(ge=0, le=65_535)]
     max_wait_ms: Annotated[int, Meta(ge=0, le=10_000)] = 0
     lost: Count = 0
@@ -74,7 +75,7 @@
     granted: Count = 0
     wait_ms: Count = 0
     usage: Usage = 0.0
-    others: list[tuple[str, int, Usage]] = []
+    others: list[tuple[str, Slot, Usage]] = []
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
@@ -171,7 +171,9 @@
         if reply is None or reply.outcome is Outcome.NOT_OWNER:
             shares.restore_pending(account.name, demanded)
             return reply
-        shares.learned(account.name, slot, reply.usage)
+        # Owners of older releases grant tokens, but state no usage.
+        if reply.usage:
+            shares.learned(account.name, slot, reply.usage)
         for name, other_slot, usage in reply.others:
             shares.learned(name, other_slot, usage)
         return reply
@@ -253,9 +255,12 @@
                     member, TOPIC, payload, REQUEST_TIMEOUT_SECONDS
                 )
             return decode_reply(answer)
-        except (ProtocolError, OSError, TimeoutError):
+        except (ProtocolError, OSError, TimeoutError) as error:
             self.counters["unanswered"] += 1
-            self.mark_unresponsive(member)
+            # Owners of older releases answer a mere report with an error, and
+            # grant tokens none the less.
+            if request.wanted or not isinstance(error, ProtocolError):
+                self.mark_unresponsive(member)
             return None
 
     def mark_unresponsive(self, member):
--- a/tests/unit/daemon/test_account_shares.py
+++ b/tests/unit/daemon/test_account_shares.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import unittest
+from math import inf, nan
 from types import SimpleNamespace
 
 import msgspec
 
 from papayabay_core.calls import Answer, Body
 from papayabay_core.errors import CallError, Effect, ErrorKind
+from papayabay_core.exceptions import ProtocolError
 from papayabay_core.importance import RANKS
 from papayabay_core.policy.accounts import Account, RateLimit
 from papayabay_core.policy.document import PolicyDocument
@@ -18,15 +20,21 @@
     DemandReports,
     Identity,
     LimitOwner,
+    OwnerLimiter,
     messages,
 )
 from papayabay_daemon._internal.accounts.messages import Outcome, TokenRequest
-from papayabay_daemon._internal.accounts.shares import REPORT_SECONDS, recent_usages
+from papayabay_daemon._internal.accounts.shares import (
+    FACTOR_SECONDS,
+    REPORT_SECONDS,
+    recent_usages,
+)
 from papayabay_daemon._internal.calls.flow import CallFlow
 from papayabay_daemon._internal.lifetime.ranks import rank_of, scaled_rank
 from tests.lib.cluster_fakes import make_settings
 from tests.unit.daemon import shares_model
 from tests.unit.daemon.account_support import account_call, account_policy, rule_of
+from tests.unit.daemon.routing_support import member
 
 ACCOUNT = Account("a", None, RateLimit(10.0, 16))
 OTHER = Account("b", None, RateLimit(10.0, 16))
@@ -153,6 +161,61 @@
         reply = messages.decode_reply(msgspec.msgpack.encode([0, 1, 0]))
         self.assertEqual((reply.outcome, reply.usage), (Outcome.GRANTED, 0.0))
 
+    def test_implausible_usages_are_not_read(self):
+        """Guards against ranks by NaN and usages of slots that can't exist."""
+        for usage, other in ((nan, (0, 1.0)), (inf, (0, 1.0)), (1.0, (-1, 1.0))):
+            reply = msgspec.msgpack.encode([0, 1, 0, usage, [("b", *other)]])
+            with self.assertRaises(ProtocolError):
+                messages.decode_reply(reply)
+
+
+class OlderOwner:
+    """Links to an owner of the release before demand was reported.
+
+    It refuses a request for no token, and its replies state no usage.
+    """
+
+    def __init__(self):
+        self.requests = []
+
+    async def request(self, peer, topic, payload, timeout):
+        account, slot, wanted, *_ = msgspec.msgpack.decode(payload)
+        self.requests.append(wanted)
+        if not wanted:
+            raise ProtocolError("malformed token message")
+        return msgspec.msgpack.encode([0, wanted, 0])
+
+
+class OlderOwnerTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        entry = SimpleNamespace(member=member("older"), is_reserved=False)
+        ring = SimpleNamespace(
+            live_count=2, lost_count=0, owner_at=lambda position: entry
+        )
+        self.links = OlderOwner()
+        self.shares = AccountShares(lambda: self.now, lambda: 2)
+        self.limiter = OwnerLimiter(
+            member("here"), ring, None, self.links, random.Random(1),
+            lambda: self.now, self.shares,
+        )  # fmt: skip
+
+    def test_a_reply_without_a_usage_does_not_count_as_no_demand(self):
+        """Guards against the best rank for all accounts of older owners."""
+        for _ in range(20):
+            self.shares.arrived(ACCOUNT)
+        asyncio.run(self.limiter.acquire(ACCOUNT))
+        self.now += FACTOR_SECONDS
+        self.assertEqual(recent_usages(self.shares.accounts["a"], self.now), [])
+        self.assertGreater(self.shares.arrived(ACCOUNT), 0.5)
+
+    def test_an_owner_that_reads_no_reports_still_grants_tokens(self):
+        """Guards against unknown limits while daemons are replaced."""
+        self.shares.arrived(ACCOUNT)
+        asyncio.run(self.limiter.report_demand(ACCOUNT))
+        asyncio.run(self.limiter.acquire(ACCOUNT))
+        self.assertEqual([bool(one) for one in self.links.requests], [False, True])
+
 
 class EntryTest(unittest.TestCase):
     def enter(self, way):
--- a/tests/unit/daemon/test_load_frames.py
+++ b/tests/unit/daemon/test_load_frames.py
@@ -18,7 +18,7 @@
 
 class LoadFrameTests(RoutingCase):
     def test_implausible_slowdown_counts_as_none(self):
-        """Guards against a division by 0 that loses the answer of a run call."""
+        """Guards against a division by 0 that loses the answer of a run."""
         for slowdown in (0.0, -2.5, nan, inf, 1e300):
             load = over_a_link(LoadState(limit=10, slowdown=slowdown))
             self.assertEqual(load.slowdown, 1.0, slowdown)
