Take the path class of an older peer's call from its class

Cause: a call frame without `order` got path class 0. In a RequestQueue, a sheddable call that an older daemon had sent thus went before all sheddable calls of newer daemons, whatever their ranks, while daemons are replaced.

Change: a missing `order` means the call's own class, which is what the entry sets where no account changes the class.

Result: the new test failed before (path class 0 in place of 2) and passes; test_calls_slack, test_account_calls, test_links_calls and test_links_faults pass (41 tests).

Conclusion: calls of older and newer peers are ordered by rank together.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -100,7 +100,7 @@
     declared: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] | None = None
     account: str = ""
     due_ms: Annotated[int, Meta(ge=-(2**31), le=2**31 - 1)] | None = None
-    order: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] = 0
+    order: Annotated[int, Meta(ge=0, lt=len(IMPORTANCES))] | None = None
     rest_ms: Count = 0
 
 
@@ -292,7 +292,9 @@
         declared_class=None if frame.declared is None else IMPORTANCES[frame.declared],
         account=frame.account,
         due_at=due_at,
-        path_class=frame.order,
+        # Older peers send no path class. With 0 their calls would go before
+        # all calls of newer peers in the same class.
+        path_class=frame.importance if frame.order is None else frame.order,
         rest_s=frame.rest_ms / 1_000,
     )
 
--- a/tests/unit/daemon/test_calls_slack.py
+++ b/tests/unit/daemon/test_calls_slack.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 from unittest.mock import Mock
 
+import msgspec
+
 from papayabay_core.calls import Answer
 from papayabay_core.importance import Importance
 from papayabay_core.policy.document import Objective
@@ -87,6 +89,15 @@
         sent = call_frames.decode_call(call_frames.read_call_frame(frame), 0.0)
         self.assertEqual((sent.path_class, sent.rest_s), (2, 0.2))
 
+    def test_call_of_an_older_peer_has_the_path_class_of_its_class(self):
+        """Guards against calls that go first as an older daemon sent them."""
+        sent = make_call(lambda: 0.0, Importance.SHEDDABLE)
+        frame = call_frames.encode_call(1, sent, b"", True, 0, 0)
+        fields = msgspec.msgpack.decode(frame)
+        older = msgspec.msgpack.encode(fields[:-3])
+        read = call_frames.decode_call(call_frames.read_call_frame(older), 0.0)
+        self.assertEqual((read.path_class, read.due_at, read.rest_s), (2, None, 0.0))
+
     def test_calls_of_a_run_get_their_due_time_and_path_class(self):
         """Guards against runs that nothing is learned from."""
         for order in ("due", "depth"):
