--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/work.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/work.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass, field
+from itertools import islice
 
 from papayabay_core.calls import MAX_WORK_SERVICES
 from papayabay_core.importance import ADMIT_ALL
@@ -116,7 +117,8 @@
     def adopt(self, path_key, runs, calls):
         """Take over a peer's counts of a path that has not run here yet."""
         if path_key not in self.paths and len(self.paths) < MAX_PATHS:
-            self.paths[path_key] = ChildCalls(runs, dict(calls))
+            kept = dict(islice(calls.items(), MAX_CHILDREN))
+            self.paths[path_key] = ChildCalls(runs, kept)
 
     def work_ms(self, path_key, service_ms, level, now):
         """Return the slot milliseconds of a run, by scarce service.
--- a/tests/unit/daemon/test_work_snapshot.py
+++ b/tests/unit/daemon/test_work_snapshot.py
@@ -14,7 +14,7 @@
 from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.calls import snapshot, snapshot_messages
 from papayabay_daemon._internal.calls.snapshot import SnapshotExchange
-from papayabay_daemon._internal.calls.work import WorkModel
+from papayabay_daemon._internal.calls.work import MAX_CHILDREN, WorkModel
 from papayabay_daemon._internal.interfaces import MemberState
 from papayabay_daemon._internal.routing import RoutingTable
 from tests.lib.cluster_fakes import LinkNetwork
@@ -116,6 +116,13 @@
         with mock.patch.object(snapshot, "MAX_WAIT_S", 0.2):
             self.assertEqual(sum(self.new.start().values()), 0)
 
+    def test_adopted_call_trees_are_bounded(self):
+        """Guards against more child paths than are kept of own runs."""
+        calls = {f"room/{number}": 1 for number in range(MAX_CHILDREN + 1)}
+        self.new.model.adopt("stock/look", 1, calls)
+        adopted = self.new.model.paths["stock/look"].calls
+        self.assertEqual(len(adopted), MAX_CHILDREN)
+
     def test_message_is_bounded(self):
         """Guards against a message of all paths of a large policy."""
         other = self.others[0]
