--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/snapshot_messages.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/snapshot_messages.py
@@ -7,6 +7,7 @@
 
 from papayabay_core.calls import MAX_PATH_LEVELS, MAX_WORK_SERVICES
 from papayabay_core.exceptions import ProtocolError
+from papayabay_core.importance import ADMIT_ALL
 
 TOPIC = "calls.snapshot"
 MAX_BYTES = 16 * 1024
@@ -15,7 +16,9 @@
 
 Count = Annotated[int, Meta(ge=0, le=2**32 - 1)]
 Amounts = Annotated[dict[str, float], Meta(max_length=MAX_WORK_SERVICES)]
-Levels = Annotated[dict[str, int], Meta(max_length=2 * MAX_PATH_LEVELS)]
+Level = Annotated[int, Meta(ge=-1, le=ADMIT_ALL)]
+"""Admission level; -1 admits no call."""
+Levels = Annotated[dict[str, Level], Meta(max_length=2 * MAX_PATH_LEVELS)]
 
 
 class PathCounts(msgspec.Struct, array_like=True, frozen=True):
@@ -69,7 +72,7 @@
 
     service: str
     age_ms: Count
-    level: int
+    level: Level
     path_levels: Levels
     paths: Annotated[list[PathFigures], Meta(max_length=MAX_ENTRIES)]
 
--- a/tests/unit/daemon/test_work_snapshot.py
+++ b/tests/unit/daemon/test_work_snapshot.py
@@ -9,7 +9,7 @@
 
 from papayabay_core.calls import LoadState
 from papayabay_core.exceptions import ProtocolError
-from papayabay_core.importance import Importance
+from papayabay_core.importance import ADMIT_ALL, Importance
 from papayabay_core.policy import Policy
 from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.calls import snapshot, snapshot_messages
@@ -123,6 +123,14 @@
         adopted = self.new.model.paths["stock/look"].calls
         self.assertEqual(len(adopted), MAX_CHILDREN)
 
+    def test_levels_that_cannot_be_are_not_read(self):
+        """Guards against a service that one message closes or opens."""
+        for level, path_level in ((-2, 0), (ADMIT_ALL + 1, 0), (0, -(2**62))):
+            figures = ["stock", 1, level, {"stock/look": path_level}, []]
+            payload = snapshot_messages.encoder.encode([[], [figures]])
+            with self.assertRaises(ProtocolError):
+                snapshot_messages.decode(payload)
+
     def test_message_is_bounded(self):
         """Guards against a message of all paths of a large policy."""
         other = self.others[0]
