Test the request queue under cancels, expiries and policy changes

Cause: RequestQueue.discard removes the entry at a position that it computes from the call. If the call were not in the queue, or its rank, class or depth had changed, it would remove another one. No test covered all ways by which a call leaves the queue.

Change: a test with 2,000 random calls, cancelled, expired, displaced and moved between "depth" and "due", checks lanes and counts after each step.

With a discard that removes the last entry of the lane, the test fails.

Conclusion: a call is discarded only while it is queued, and what orders it is not changed in that time.

--- a/tests/unit/daemon/test_admission_slack.py
+++ b/tests/unit/daemon/test_admission_slack.py
@@ -11,6 +11,7 @@
 from papayabay_daemon._internal.admission.waiting import WaitingCall
 from tests.unit.daemon.admission_support import (
     OK,
+    admit_or_kind,
     in_virtual_time,
     make_call,
     make_control,
@@ -52,6 +53,55 @@
             self.assertEqual(queue.size, len(model))
 
 
+class ChangingQueueTests(unittest.TestCase):
+    def assert_consistent(self, control):
+        """Check that all lanes are sorted, and the counts are right."""
+        queue = control.scheme.queue
+        if not isinstance(queue, RequestQueue):
+            return
+        lanes = queue.with_depth + queue.without_depth
+        self.assertEqual(sum(len(lane) for lane in lanes), queue.size)
+        self.assertEqual(sum(queue.group_sizes), queue.size)
+        for lane in lanes:
+            self.assertEqual(lane, sorted(lane, key=lambda entry: entry[:2]))
+            self.assertTrue(all(entry[-1].queued for entry in lane))
+
+    async def run_call(self, control, call, seconds):
+        ticket = await admit_or_kind(control, call)
+        if isinstance(ticket, ErrorKind):
+            return
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            ticket.finish(OK)
+
+    @in_virtual_time
+    async def test_queue_survives_cancels_expiries_and_policies(self, clock):
+        """Guards against calls that no queue holds, or that stay in one."""
+        random, tasks = Random(9), []
+        control = make_control(clock, slots=3, queue_order="due")
+        for number in range(2_000):
+            call = make_call(clock, random.choice(list(Importance)))
+            call.rank, call.depth = random.randrange(9), random.randrange(2)
+            call.path_class = random.randrange(3)
+            call.expires_at = clock() + random.choice((0.01, 0.1, 3.0))
+            call.rest_s = random.choice((0.0, 0.02))
+            running = self.run_call(control, call, random.expovariate(30.0))
+            tasks.append(asyncio.ensure_future(running))
+            if random.random() < 0.2:
+                random.choice(tasks[-20:]).cancel()
+            if number % 50 == 0:
+                order = random.choice(("due", "depth"))
+                control.reconfigure(make_inputs(clock, slots=3, queue_order=order))
+            await asyncio.sleep(random.choice((0.0, 0.001, 0.01)))
+            self.assert_consistent(control)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual((control.in_flight, control.scheme.queue.size), (0, 0))
+        self.assertTrue(control.counters.cancelled and control.counters.expired)
+        self.assertTrue(control.counters.displaced)
+        control.close()
+
+
 class SlackTests(unittest.TestCase):
     @in_virtual_time
     async def test_more_important_path_is_served_before_a_deeper_call(self, clock):
