Bound the wait of new requests behind begun ones (proposal)

Cause: a full queue is judged by its worst call.

Change: the worst call without a depth is compared with the calls ahead too.

Result: the new test failed before (101 queued where 8.5 are allowed) and passes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -54,6 +54,19 @@
         self.queue.push(waiting)
         self.displace(waiting, now)
 
+    def displace(self, waiting, now):
+        """Refuse the worst calls while the queue is too long.
+
+        The worst call of all may have a depth and a long slack. So the worst
+        call without a depth is also compared with the calls ahead of it.
+        """
+        super().displace(waiting, now)
+        while (worst := self.queue.peek_worst_new(0)) is not None:
+            if self.queue.count_ahead(worst) < self.capacity(worst.call, now):
+                return
+            self.control.counters.displaced += worst is not waiting
+            self.refuse_and_hold(worst, now)
+
     def refuses(self, call, now):
         """Refuse other classes for a while after refusing a critical call.
 
--- a/tests/unit/daemon/test_begun_requests.py
+++ b/tests/unit/daemon/test_begun_requests.py
@@ -12,6 +12,7 @@
     make_control,
     settle,
     start_admit,
+    train,
 )
 from tests.unit.daemon.routing_support import (
     CRITICAL_ONLY,
@@ -80,6 +81,23 @@
             one.cancel()
         await asyncio.gather(*waiting, return_exceptions=True)
 
+    @in_virtual_time
+    async def test_begun_request_does_not_lengthen_the_wait_of_others(self, clock):
+        """Guards against new requests that wait as long as a worse call."""
+        control = make_control(clock, slots=1, queue_order="due")
+        await train(control, clock, 0.02)
+        await control.admit(make_call(clock))
+        begun = make_call(clock, SHEDDABLE, depth=1)
+        new = [make_call(clock, NORMAL, rank=number) for number in range(100)]
+        waiting = [start_admit(control, one) for one in (begun, *new)]
+        await settle()
+        max_calls = control.inputs.settings.queue_max_ms / 20
+        self.assertLessEqual(control.scheme.queue.size, max_calls + 1)
+        self.assertFalse(waiting[0].done())
+        for one in waiting:
+            one.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
 
 class RoutingTests(RoutingCase):
     def setUp(self):
