Let the deadline bound waits whose objective can't be met

Cause: a call whose latency objective is shorter than its service time was past due on arrival, so that any call ahead of it made it infeasible; its refusal held back all other classes, below saturation (found in review). Change: such a call is ordered and bounded by its deadline. Measured result: the new test fails before the change and passes after it.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -48,6 +48,10 @@
     def enqueue(self, waiting, now):
         """Queue a call; if the queue is full, refuse the worst call."""
         waiting.start_by = self.start_by(waiting.call)
+        if waiting.start_by <= now:
+            # The objective can't be met any more; the deadline still counts.
+            waiting.call.due_at = None
+            waiting.start_by = self.start_by(waiting.call)
         if not self.is_feasible(waiting, now):
             self.refuse_and_hold(waiting, now)
             return
