Test waits whose objective can't be met

Change: a critical call with an objective below its service time waits for its turn behind another one.

--- a/tests/unit/daemon/test_begun_requests.py
+++ b/tests/unit/daemon/test_begun_requests.py
@@ -7,6 +7,7 @@
 from papayabay_core.errors import ErrorKind
 from papayabay_core.importance import ADMIT_ALL, Importance
 from tests.unit.daemon.admission_support import (
+    OK,
     in_virtual_time,
     make_call,
     make_control,
@@ -58,6 +59,23 @@
             one.cancel()
         await asyncio.gather(*waiting, return_exceptions=True)
 
+    @in_virtual_time
+    async def test_objective_that_cannot_be_met_does_not_bound_the_wait(self, clock):
+        """Guards against refusals below saturation for a short objective."""
+        control = make_control(clock, slots=1, queue_order="due")
+        await train(control, clock, 0.2, calls=3)
+        running = await control.admit(make_call(clock))
+        waiting = []
+        for _ in range(2):
+            one = make_call(clock, CRITICAL)
+            one.due_at = clock() + 0.05
+            waiting.append(start_admit(control, one))
+        await settle()
+        self.assertFalse(any(one.done() for one in waiting))
+        running.finish(OK)
+        for one in waiting:
+            (await one).finish(OK)
+
     @in_virtual_time
     async def test_long_queue_of_begun_requests_lowers_the_threshold(self, clock):
         """Guards against a threshold that stays open while nothing is refused.
