--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -121,6 +121,7 @@
                 await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     async def send_heartbeat(self, session):
+        """Send one heartbeat; return the status, None without an answer."""
         self.sequence += 1
         heartbeat = {
             "address": f"{self.host}:{self.port}",
@@ -137,5 +138,6 @@
             async with session.post(url, json=heartbeat) as response:
                 if response.status == 200 and sent_state == "draining":
                     self.drain_acknowledged.set()
+                return response.status
         except aiohttp.ClientError:
-            pass
+            return None
