Close idle connections after a request on a silent one expired

Cause: connections that went silent stay in the pools. After a request expired on one, the next request took the next such connection and expired as well: 5.0 s for each call to a target, 1 s for each request to the store. Change: the requester closes its idle connections to a host when a request fails; the target's pool closes those that were idle since before the expired call was sent. Calls on a slow target at most cost new connections on loopback. Conclusion: one silent idle connection still costs its call the whole lifetime, as nothing shows whether the target is silent or slow.

--- a/packages/papayabay-core/src/papayabay_core/http/requester.py
+++ b/packages/papayabay-core/src/papayabay_core/http/requester.py
@@ -99,6 +99,7 @@
             reply = await self.read(message)
         except BaseException:
             connection.abort()
+            self.close_idle(key)
             raise
         self.give_back(key, connection)
         return reply
@@ -122,6 +123,16 @@
             connection.abort()
         return None
 
+    def close_idle(self, key):
+        """Close all idle connections to a host and port.
+
+        What makes one connection fail or go silent, such as a middlebox that
+        lost its state, often affects the others as well. Each of them would
+        cost a further request its time-out.
+        """
+        for connection in self.idle.pop(key, ()):
+            connection.abort()
+
     def give_back(self, key, connection):
         """Keep a connection for reuse after its answer was read."""
         connection.busy = False
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -107,6 +107,7 @@
             if exchange is None:
                 raise CallError(ErrorKind.EXPIRED_UNSENT) from None
             self.cancel(exchange, call, call_token)
+            pool.close_idle_since(exchange.started_at)
             raise CallError(ErrorKind.EXPIRED) from None
         except asyncio.CancelledError:
             if exchange is not None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -108,6 +108,23 @@
             connection.abort()
         return None
 
+    def close_idle_since(self, moment):
+        """Close the connections that have been idle since a moment or longer.
+
+        A call that expired may have been sent on a connection that passes
+        nothing any more. Other connections that have not been used since then
+        may be silent too, and each would cost a call its whole lifetime.
+
+        Parameters
+        ----------
+        moment : float
+            When the expired call was sent, on `clock.now()`.
+        """
+        for connection in list(self.idle):
+            if connection.idle_since <= moment:
+                connection.abort()
+                self.idle.remove(connection)
+
     async def open_connection(self):
         """Return a new connection."""
         loop = asyncio.get_running_loop()
