Close idle connections to a target only if none was answered

Cause: every expired call closed the connections that had been idle for longer, also where the target was merely slow; in an overload many calls expire, and new connections cost the target and the caller time. Change: idle connections are closed only if no answer came on any of the target's connections since the expired call was sent.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -36,6 +36,8 @@
         Connection attempts in progress.
     waiters : deque of asyncio.Future
         Calls that wait for a connection, in order of arrival.
+    answered_at : float
+        When the latest answer was read to its end.
     retired : bool
         Whether the pool closes after its last user.
     closed : bool
@@ -51,6 +53,7 @@
         self.idle = []
         self.connecting = 0
         self.waiters = deque()
+        self.answered_at = float("-inf")
         self.retired = False
         self.closed = False
 
@@ -109,21 +112,23 @@
         return None
 
     def close_idle_since(self, moment):
-        """Close the connections that have been idle since a moment or longer.
+        """Close all idle connections if none was answered since a moment.
 
         A call that expired may have been sent on a connection that passes
-        nothing any more. Other connections that have not been used since then
-        may be silent too, and each would cost a call its whole lifetime.
+        nothing any more. The others may be silent too, and each would cost a
+        call its whole lifetime. An answer on any of them since then shows
+        that the target was merely slow.
 
         Parameters
         ----------
         moment : float
             When the expired call was sent, on `clock.now()`.
         """
-        for connection in list(self.idle):
-            if connection.idle_since <= moment:
-                connection.abort()
-                self.idle.remove(connection)
+        if self.answered_at > moment:
+            return
+        for connection in self.idle:
+            connection.abort()
+        self.idle.clear()
 
     async def open_connection(self):
         """Return a new connection."""
@@ -181,7 +186,7 @@
         if not connection.reusable or self.closed:
             connection.abort()
             return
-        connection.idle_since = now()
+        connection.idle_since = self.answered_at = now()
         self.idle.append(connection)
         self.wake_next_waiter()
 
