--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -74,7 +74,6 @@
     own_domain_usage: Share = 0.0
     max_ejected_share: Share = 0.34
     score: Literal["usage", "completion"] = "usage"
-    balance: Literal["usage", "demand"] = "usage"
 
 
 class Objective(Strict, frozen=True, kw_only=True):
