Leave no surplus above the capacity where requests keep their room

Served by rank, the few calls that wait are the worst of their class; a queue below its target time counted as room for up to 1.3 times the capacity, and the threshold stayed open. Change: with queue_order = "due" the wanted load is at most the capacity, and a short queue is no room. The threshold rises by 0.2 of the idle slot time, growing by 1.4 in each window. The new test fails before the change.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/admit_level.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/admit_level.py
@@ -17,8 +17,6 @@
 capacity; a shorter one lowers it in proportion."""
 MIN_FACTOR = 0.5
 """Least wanted load, as a multiple of the capacity."""
-SURPLUS = 1.1
-"""Wanted load at the target queueing time, as a multiple of the capacity."""
 MAX_RAISE_BUCKETS = 40
 MAX_GROWTH_WINDOWS = 12
 MIN_UTILIZATION = 0.1
@@ -31,8 +29,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RaisePace:
-    """How fast the threshold rises while slots are idle.
+class ThresholdGains:
+    """How the threshold follows the load.
 
     Attributes
     ----------
@@ -41,10 +39,13 @@
         fills.
     growth : float
         Factor by which `share` grows with each further such window.
+    surplus : float
+        Wanted load at the target queueing time, as a multiple of the capacity.
     """
 
     share: float = 0.35
     growth: float = 2.0
+    surplus: float = 1.1
 
 
 class AdmitLevel:
@@ -69,12 +70,12 @@
     pressure : callable
         Takes `now`; returns the queueing time minus its target, in seconds,
         and the share of slot time that was used since the previous call.
-    pace : RaisePace
+    gains : ThresholdGains
     """
 
-    def __init__(self, pressure, pace=RaisePace()):
+    def __init__(self, pressure, gains=ThresholdGains()):
         self.pressure = pressure
-        self.pace = pace
+        self.gains = gains
         self.bucket = LAST_BUCKET
         self.window_end = 0.0
         self.arrivals = [0.0] * BUCKETS
@@ -131,7 +132,7 @@
         an estimate alone must not refuse critical calls.
         """
         self.calm_windows = 0
-        factor = SURPLUS - excess / EXCESS_WAIT_S
+        factor = self.gains.surplus - excess / EXCESS_WAIT_S
         # Calls served while slots were idle understate the capacity. Without
         # this correction a threshold that was set too low would stay there.
         capacity = self.served_calls / max(self.mean_utilization, MIN_MEAN_UTILIZATION)
@@ -173,7 +174,7 @@
         idle = max(0.0, 1.0 - utilization)
         missing = self.served_calls * idle / max(utilization, MIN_UTILIZATION)
         calm_windows = min(self.calm_windows, MAX_GROWTH_WINDOWS)
-        share = self.pace.share * self.pace.growth**calm_windows
+        share = self.gains.share * self.gains.growth**calm_windows
         filling = share * missing / max(self.density(), MIN_DENSITY)
         self.calm_windows += 1
         step = windows * min(MAX_RAISE_BUCKETS * idle, max(1.0, filling))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -6,7 +6,7 @@
 from papayabay_daemon._internal.admission.admit_level import (
     LAST_CRITICAL,
     AdmitLevel,
-    RaisePace,
+    ThresholdGains,
 )
 from papayabay_daemon._internal.admission.overload import QUIET_SECONDS
 from papayabay_daemon._internal.admission.queues import bucket_of
@@ -20,10 +20,11 @@
     RequestQueue,
 )
 
-RAISE_PACE = RaisePace(share=0.1, growth=1.2)
+GAINS = ThresholdGains(share=0.2, growth=1.4, surplus=1.0)
 """Calls of newly admitted requests arrive here for up to a second after their
 entries were told of a higher threshold. A faster rise admits more requests
-than can be served before the first of their calls is counted."""
+than can be served before the first of their calls is counted. There is no
+surplus, as the calls above the capacity belong to requests that have begun."""
 FIRST_OTHER_GROUP = CLASSES * (Importance.CRITICAL + 1)
 """First group of a `RequestQueue` whose calls are not critical."""
 log = logbook.Logger("papayabay.admission")
@@ -42,7 +43,7 @@
     def __init__(self, control):
         super().__init__(control)
         self.queue = RequestQueue()
-        self.threshold = AdmitLevel(self.pressure, RAISE_PACE)
+        self.threshold = AdmitLevel(self.pressure, GAINS)
         self.critical_refused_at = None
 
     def enqueue(self, waiting, now):
@@ -92,14 +93,16 @@
 
         Calls of requests that have begun wait instead of being refused, so a
         queueing time above the longest one of other calls counts as a refusal
-        that lowers the threshold.
+        that lowers the threshold. A queueing time below the target is no room
+        for more: the few calls that wait, and are lost in the end, are the
+        worst of their class.
         """
         excess_s, utilization = super().pressure(now)
         settings = self.control.inputs.settings
         max_excess_s = (settings.queue_max_ms - settings.queue_target_ms) / 1_000
         if excess_s > max_excess_s:
             self.threshold.record_refusal(Importance.SHEDDABLE)
-        return excess_s, utilization
+        return max(0.0, excess_s), utilization
 
     def start_by(self, call):
         """Return when a call needs a slot to be answered when it is due."""
--- a/tests/unit/daemon/test_begun_requests.py
+++ b/tests/unit/daemon/test_begun_requests.py
@@ -5,7 +5,7 @@
 
 from papayabay_core.calls import LoadState
 from papayabay_core.errors import ErrorKind
-from papayabay_core.importance import ADMIT_ALL, Importance
+from papayabay_core.importance import ADMIT_ALL, Importance, level_of
 from tests.unit.daemon.admission_support import (
     OK,
     in_virtual_time,
@@ -116,6 +116,24 @@
             one.cancel()
         await asyncio.gather(*waiting, return_exceptions=True)
 
+    @in_virtual_time
+    async def test_lost_calls_below_the_target_time_lower_the_threshold(self, clock):
+        """Guards against requests that begin and are lost in a short queue.
+
+        Served by rank, a queue shorter than its target holds the worst calls
+        only; a threshold with a surplus for it stayed open.
+        """
+        control = make_control(clock, slots=4, queue_order="due", queue_target_ms=50)
+        threshold = control.scheme.threshold
+        threshold.current(clock())
+        for number in range(120):
+            threshold.record_arrival(level_of(SHEDDABLE, number * 500), clock())
+        for _ in range(100):
+            threshold.record_served(clock())
+        threshold.record_refusal(SHEDDABLE)
+        await asyncio.sleep(0.11)
+        self.assertLess(threshold.current(clock()), level_of(SHEDDABLE, 55_000))
+
 
 class RoutingTests(RoutingCase):
     def setUp(self):
