--- a/tests/unit/daemon/test_begun_requests.py
+++ b/tests/unit/daemon/test_begun_requests.py
@@ -124,6 +124,8 @@
         only; a threshold with a surplus for it stayed open.
         """
         control = make_control(clock, slots=4, queue_order="due", queue_target_ms=50)
+        for _ in range(4):
+            await control.admit(make_call(clock))
         threshold = control.scheme.threshold
         threshold.current(clock())
         for number in range(120):
