Let the test of lost calls begin with a busy target

The threshold's mean utilization still held the idle time before the test, and so took the capacity for higher than what was served. Change: the slots are in use for twenty windows before the load arrives.

--- a/tests/unit/daemon/test_begun_requests.py
+++ b/tests/unit/daemon/test_begun_requests.py
@@ -127,7 +127,9 @@
         for _ in range(4):
             await control.admit(make_call(clock))
         threshold = control.scheme.threshold
-        threshold.current(clock())
+        for _ in range(20):
+            threshold.current(clock())
+            await asyncio.sleep(0.11)
         for number in range(120):
             threshold.record_arrival(level_of(SHEDDABLE, number * 500), clock())
         for _ in range(100):
