--- /dev/null
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
@@ -0,0 +1,124 @@
+"""Root calls of requests: their priority, deadline and due time."""
+
+from papayabay_core.calls import Call
+from papayabay_core.policy.accounts import Account
+from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.calls.slack import entry_due_at
+from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
+from papayabay_daemon._internal.lifetime.ranks import (
+    effective_priority,
+    rank_in_account_class,
+    rank_of,
+    scaled_rank,
+)
+from papayabay_daemon._internal.lifetime.work_order import WorkOrder
+
+UNLIMITED_LIFETIME_SECONDS = 600.0
+"""Lifetime of a request if the policy turns deadlines off."""
+NO_ACCOUNT = Account(name="", importance=None, limit=None)
+
+
+class EntryCalls:
+    """Makes the root calls of the requests that enter at this daemon.
+
+    Parameters
+    ----------
+    components : CallComponents
+    """
+
+    def __init__(self, components):
+        self.components = components
+        self.work_order = WorkOrder()
+
+    def create(self, incoming, rule, request_id, identity=None):
+        """Return the root call of a request.
+
+        Its class comes from the policy alone, so that no header of a caller
+        can raise it.
+
+        Parameters
+        ----------
+        incoming : IncomingRequest
+        rule : CallRule
+        request_id : str
+        identity : Identity or None
+            If its account has a class, it takes precedence over the rule's.
+        """
+        decisions = self.components.policy().decisions
+        lifetime = entry_deadline(rule, incoming.deadline_ms)
+        if not decisions.deadlines:
+            lifetime = UNLIMITED_LIFETIME_SECONDS
+        entered_at = now()
+        expires_at = entered_at + lifetime
+        due_at = None
+        if decisions.queue_order == "due":
+            due_at = entry_due_at(rule, entered_at, expires_at)
+        account = identity.account if identity else NO_ACCOUNT
+        declared = rule.importance if account.importance is None else account.importance
+        rank = rank_of(incoming.idempotency_key or request_id)
+        importance, rank = self.priority(rule, account, declared, rank)
+        return Call(
+            request_id=request_id,
+            service=incoming.service,
+            method=incoming.method,
+            path=incoming.path,
+            headers=incoming.headers,
+            body=incoming.body,
+            importance=importance,
+            rank=rank,
+            path_class=int(rule.importance if importance is declared else importance),
+            depth=0,
+            expires_at=expires_at,
+            due_at=due_at,
+            credits=rule.retry_credits,
+            idempotent=rule.idempotent,
+            idempotency_key=incoming.idempotency_key,
+            path_key=rule.path_key,
+            attempts=rule.attempts,
+            declared_class=None if importance is declared else declared,
+            account=account.name,
+            key_digest=identity.key_digest if identity else "",
+        )
+
+    def priority(self, rule, account, declared, rank):
+        """Return the class and rank that a request has in all queues.
+
+        Parameters
+        ----------
+        rule : CallRule
+        account : Account
+        declared : Importance
+            Class that policy gives the request.
+        rank : int
+        """
+        decisions = self.components.policy().decisions
+        importance, rank = effective_priority(declared, rank, decisions.kept_share)
+        if decisions.equals == "work" and importance is declared:
+            rank = scaled_rank(rank, self.work_factor(rule))
+        if decisions.account_shares == "max-min":
+            # Also for requests treated as critical: all ranks of a class must
+            # have the same scale, else these would be refused first.
+            rank = scaled_rank(rank, self.share_factor(account))
+        if account.importance is not None and importance is declared:
+            rank = rank_in_account_class(rule.importance, rank)
+        return importance, rank
+
+    def work_factor(self, rule):
+        """Return the factor of a request's rank for the work of its path."""
+        path_key = rule.path_key
+        work_ms = self.components.router.path_work(rule.service, path_key)
+        return self.work_order.factor(rule.importance, path_key, work_ms)
+
+    def work_fields(self, rule):
+        """Return the fields of the decision log on the work of a request."""
+        if rule is None or self.components.policy().decisions.equals != "work":
+            return {}
+        work_ms = self.components.router.path_work(rule.service, rule.path_key)
+        return {"work_ms": round(work_ms, 1)}
+
+    def share_factor(self, account):
+        """Return the multiple of the ranks of an account's requests."""
+        shares = self.components.demand_reports.shares
+        if account.limit is None:
+            return shares.typical_factor()
+        return shares.arrived(account)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -7,7 +7,6 @@
 
 from papayabay_core.calls import Call
 from papayabay_core.errors import KIND_NAMES, CallError, Effect, ErrorKind
-from papayabay_core.policy.accounts import Account
 from papayabay_core.utils.clock import now
 from papayabay_core.utils.identifiers import new_identifier
 from papayabay_daemon._internal.calls.answers import (
@@ -15,22 +14,11 @@
     answer_or_error,
     error_answer,
 )
-from papayabay_daemon._internal.calls.slack import entry_due_at
+from papayabay_daemon._internal.calls.entry import NO_ACCOUNT, EntryCalls
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
-from papayabay_daemon._internal.lifetime.ranks import (
-    best_rank,
-    effective_priority,
-    rank_in_account_class,
-    rank_of,
-    scaled_rank,
-)
-from papayabay_daemon._internal.lifetime.work_order import WorkOrder
+from papayabay_daemon._internal.lifetime.ranks import best_rank
 from papayabay_daemon._internal.retries import CreditAccount, ReturnTimes
 
-UNLIMITED_LIFETIME_SECONDS = 600.0
-"""Lifetime of a request if the policy turns deadlines off."""
-NO_ACCOUNT = Account(name="", importance=None, limit=None)
-
 
 class CallFlow:
     """Runs callers' requests and the outgoing calls of the daemon's target.
@@ -69,7 +57,8 @@
         self.accounts = accounts
         self.objectives = objectives
         self.pause = pause
-        self.work_order = WorkOrder()
+        self.entries = EntryCalls(components)
+        self.entry_call = self.entries.create
         self.draining = False
         self.in_flight = 0
         self.idle = asyncio.Event()
@@ -125,7 +114,7 @@
             parent=incoming.call_token,
             account=incoming.account,
             took_ms=round(elapsed * 1_000, 1),
-            **self.work_fields(rule),
+            **self.entries.work_fields(rule),
         )
 
     def begin_request(self):
@@ -296,84 +285,6 @@
         """Dispatch a forwarded call that the gate has admitted."""
         return await self.dispatcher.dispatch(call, self.entry_account(call))
 
-    def entry_call(self, incoming, rule, request_id, identity=None):
-        """Return the root call of a request.
-
-        Its class comes from the policy alone, so that no header of a caller
-        can raise it.
-
-        Parameters
-        ----------
-        incoming : IncomingRequest
-        rule : CallRule
-        request_id : str
-        identity : Identity or None
-            If its account has a class, it takes precedence over the rule's.
-        """
-        decisions = self.components.policy().decisions
-        lifetime = entry_deadline(rule, incoming.deadline_ms)
-        if not decisions.deadlines:
-            lifetime = UNLIMITED_LIFETIME_SECONDS
-        entered_at = now()
-        expires_at = entered_at + lifetime
-        due_at = None
-        if decisions.queue_order == "due":
-            due_at = entry_due_at(rule, entered_at, expires_at)
-        account = identity.account if identity else NO_ACCOUNT
-        declared = rule.importance if account.importance is None else account.importance
-        rank = rank_of(incoming.idempotency_key or request_id)
-        importance, rank = effective_priority(declared, rank, decisions.kept_share)
-        if decisions.equals == "work" and importance is declared:
-            rank = scaled_rank(rank, self.work_factor(rule))
-        if decisions.account_shares == "max-min":
-            # Also for requests treated as critical: all ranks of a class must
-            # have the same scale, else these would be refused first.
-            rank = scaled_rank(rank, self.share_factor(account))
-        if account.importance is not None and importance is declared:
-            rank = rank_in_account_class(rule.importance, rank)
-        return Call(
-            request_id=request_id,
-            service=incoming.service,
-            method=incoming.method,
-            path=incoming.path,
-            headers=incoming.headers,
-            body=incoming.body,
-            importance=importance,
-            rank=rank,
-            path_class=int(rule.importance if importance is declared else importance),
-            depth=0,
-            expires_at=expires_at,
-            due_at=due_at,
-            credits=rule.retry_credits,
-            idempotent=rule.idempotent,
-            idempotency_key=incoming.idempotency_key,
-            path_key=rule.path_key,
-            attempts=rule.attempts,
-            declared_class=None if importance is declared else declared,
-            account=account.name,
-            key_digest=identity.key_digest if identity else "",
-        )
-
-    def work_factor(self, rule):
-        """Return the factor of a request's rank for the work of its path."""
-        path_key = rule.path_key
-        work_ms = self.components.router.path_work(rule.service, path_key)
-        return self.work_order.factor(rule.importance, path_key, work_ms)
-
-    def work_fields(self, rule):
-        """Return the fields of the decision log on the work of a request."""
-        if rule is None or self.components.policy().decisions.equals != "work":
-            return {}
-        work_ms = self.components.router.path_work(rule.service, rule.path_key)
-        return {"work_ms": round(work_ms, 1)}
-
-    def share_factor(self, account):
-        """Return the multiple of the ranks of an account's requests."""
-        shares = self.components.demand_reports.shares
-        if account.limit is None:
-            return shares.typical_factor()
-        return shares.arrived(account)
-
     def count_answer(self, rule, answer, elapsed):
         """Count a request's answer by error kind and for its objective."""
         name = KIND_NAMES[answer.kind] if answer.kind else "ANSWERED"
