Call the moved method in the test of refused requests

Change: the test names the new place; its assertions are the same. Measured result: test_work_order passes.

--- a/tests/unit/daemon/test_work_order.py
+++ b/tests/unit/daemon/test_work_order.py
@@ -112,9 +112,9 @@
 
     def test_refused_request_is_logged_with_its_work(self):
         """Guards against refusals whose reason the decision log lacks."""
-        fields = self.flow(equals="work").work_fields(self.rule(LIGHT))
+        fields = self.flow(equals="work").entries.work_fields(self.rule(LIGHT))
         self.assertEqual(fields, {"work_ms": 43.0})
-        self.assertEqual(self.flow().work_fields(self.rule(LIGHT)), {})
+        self.assertEqual(self.flow().entries.work_fields(self.rule(LIGHT)), {})
 
 
 class ScarceService:
