Call kept return times reservations

Cause: "promise" and "crowded" are not the terms of the field. Measured result: test_return_times passes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/class_backlog.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/class_backlog.py
@@ -28,7 +28,7 @@
         Mean number of requests admitted in a time slot.
     """
 
-    __slots__ = ("admitted_at", "count", "mean", "promised", "slot", "slots_seen")
+    __slots__ = ("admitted_at", "count", "mean", "reserved", "slot", "slots_seen")
 
     def __init__(self, now):
         self.admitted_at = now
@@ -36,7 +36,7 @@
         self.count = 0
         self.mean = 0.0
         self.slots_seen = 0
-        self.promised = {}
+        self.reserved = {}
 
     def record_admitted(self, now):
         """Count a request that was admitted."""
@@ -86,18 +86,18 @@
         first = int(opens_at / TIME_SLOT_SECONDS) + 1
         last = int((now + horizon) / TIME_SLOT_SECONDS)
         for slot in range(first, min(last, first + MAX_TIME_SLOTS)):
-            promised = self.promised.get(slot, 0)
-            if promised < capacity:
-                self.promised[slot] = promised + 1
+            reserved = self.reserved.get(slot, 0)
+            if reserved < capacity:
+                self.reserved[slot] = reserved + 1
                 self.drop_past(now)
-                return (slot + promised / capacity) * TIME_SLOT_SECONDS - now
+                return (slot + reserved / capacity) * TIME_SLOT_SECONDS - now
         return None
 
     def drop_past(self, now):
         """Forget time slots that have passed, once there are many."""
-        if len(self.promised) <= 2 * MAX_TIME_SLOTS:
+        if len(self.reserved) <= 2 * MAX_TIME_SLOTS:
             return
         current = int(now / TIME_SLOT_SECONDS)
-        self.promised = {
-            slot: count for slot, count in self.promised.items() if slot >= current
+        self.reserved = {
+            slot: count for slot, count in self.reserved.items() if slot >= current
         }
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/promises.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/reservations.py
@@ -5,15 +5,15 @@
 
 import xxhash
 
-MAX_PROMISES = 4_096
-PROMISE_TTL_SECONDS = 5.0
+MAX_RESERVATIONS = 4_096
+RESERVATION_TTL_SECONDS = 5.0
 EARLY_TOLERANCE_SECONDS = 0.002
 """A request that is so early counts as in time: times are told in whole
 milliseconds, and a client's timer may be a millisecond early."""
 
 
 @dataclass(slots=True, eq=False)
-class Promise:
+class Reservation:
     """A time at which a refused request was told to come back.
 
     Attributes
@@ -31,12 +31,12 @@
     is_used: bool = False
 
 
-class Promises:
+class Reservations:
     """The return times told here, by digest of the request.
 
     The client's next attempt has another id, so that it is recognised by its
     account, method, path and body. Where clients send the same request, each
-    of them may use the promise of another; no more are used than were made.
+    may use the reservation of another; no more are used than were made.
     """
 
     def __init__(self):
@@ -47,48 +47,48 @@
         return bool(self.in_order)
 
     def add(self, digest, due_at, now):
-        """Add a promise; drop the oldest one if there are too many."""
-        if len(self.in_order) >= MAX_PROMISES:
+        """Add a reservation; drop the oldest one if there are too many."""
+        if len(self.in_order) >= MAX_RESERVATIONS:
             self.drop_oldest()
-        promise = Promise(digest, due_at, now + PROMISE_TTL_SECONDS)
-        self.in_order.append(promise)
-        self.by_digest.setdefault(digest, deque()).append(promise)
+        reservation = Reservation(digest, due_at, now + RESERVATION_TTL_SECONDS)
+        self.in_order.append(reservation)
+        self.by_digest.setdefault(digest, deque()).append(reservation)
 
     def take(self, digest, now):
-        """Use the oldest promise of a digest.
+        """Use the oldest reservation of a digest.
 
         Returns
         -------
         bool or None
-            Whether it is due; a promise that is not is kept. None if there
-            is no promise.
+            Whether it is due; a reservation that is not is kept. None if there
+            is no reservation.
         """
-        promises = self.by_digest.get(digest)
-        if promises is None:
+        reservations = self.by_digest.get(digest)
+        if reservations is None:
             return None
-        promise = promises[0]
-        if now < promise.due_at - EARLY_TOLERANCE_SECONDS:
+        reservation = reservations[0]
+        if now < reservation.due_at - EARLY_TOLERANCE_SECONDS:
             return False
-        promise.is_used = True
-        self.remove_first(digest, promises)
+        reservation.is_used = True
+        self.remove_first(digest, reservations)
         return True
 
     def expire(self, now):
-        """Drop the promises whose TTL has ended."""
+        """Drop the reservations whose TTL has ended."""
         while self.in_order and self.in_order[0].expires_at <= now:
             self.drop_oldest()
 
     def drop_oldest(self):
-        """Drop the oldest promise, used or not."""
+        """Drop the oldest reservation, used or not."""
         oldest = self.in_order.popleft()
         if not oldest.is_used:
-            # Promises of one digest are used in order, so it is the first.
+            # Reservations of one digest are used in order, so it is the first.
             self.remove_first(oldest.digest, self.by_digest[oldest.digest])
 
-    def remove_first(self, digest, promises):
-        """Remove the first promise of a digest."""
-        promises.popleft()
-        if not promises:
+    def remove_first(self, digest, reservations):
+        """Remove the first reservation of a digest."""
+        reservations.popleft()
+        if not reservations:
             del self.by_digest[digest]
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
@@ -9,14 +9,14 @@
     TIME_SLOT_SECONDS,
     ClassBacklog,
 )
-from papayabay_daemon._internal.retries.promises import Promises, request_digest
+from papayabay_daemon._internal.retries.reservations import Reservations, request_digest
 
 REFUSED_FOR_LOAD = (ErrorKind.OVERLOADED, ErrorKind.RETRIES_SPENT)
 MAX_WAIT_SHARE = 1 / 3
 """Longest Retry-After, as a share of the remaining time; clients that were
 told more come back earlier than that."""
 MAX_WAIT_SECONDS = 4.0
-"""Longest Retry-After; a promise is kept for little longer."""
+"""Longest Retry-After; a reservation is kept for little longer."""
 MIN_WAIT_SECONDS = 0.01
 SPREAD = 16
 """Number of different times in the last time slot before the horizon."""
@@ -55,18 +55,18 @@
         self.clock = clock
         self.backlogs = {}
         self.usual_s = {}
-        self.promises = Promises()
+        self.reservations = Reservations()
         self.counters = dict.fromkeys(COUNTERS, 0)
-        self.crowded = 0
-        self.crowded_at = 0.0
+        self.no_slot_count = 0
+        self.no_slot_at = 0.0
 
     def recognise(self, call):
         """Return whether a request has come back at the time it was told."""
-        if not self.promises:
+        if not self.reservations:
             return False
         moment = self.clock()
-        self.promises.expire(moment)
-        in_time = self.promises.take(request_digest(call), moment)
+        self.reservations.expire(moment)
+        in_time = self.reservations.take(request_digest(call), moment)
         if in_time is None:
             return False
         self.counters["kept" if in_time else "early"] += 1
@@ -156,39 +156,39 @@
             return self.last_time_ms(call.service, longest, moment)
         self.counters["told"] += 1
         self.log_served(call.service, moment)
-        self.promises.expire(moment)
-        self.promises.add(request_digest(call), moment + delay, moment)
+        self.reservations.expire(moment)
+        self.reservations.add(request_digest(call), moment + delay, moment)
         return whole_ms(max(MIN_WAIT_SECONDS, delay))
 
     def last_time_ms(self, service, longest, moment):
         """Return a time in the last time slot before the horizon, in ms.
 
-        There is no promise for it: if more requests came back with the best
-        rank than are admitted, the rank would not order them.
+        There is no reservation for it: if more requests came back with the
+        best rank than are admitted, the rank would not order them.
         """
         spread = TIME_SLOT_SECONDS * (self.counters["told_last"] % SPREAD) / SPREAD
         self.counters["told_last"] += 1
-        if not self.crowded:
+        if not self.no_slot_count:
             log.notice(
                 "refused requests to {} exceed what is admitted within {:.1f} s; "
-                "telling further ones the last time without a promise",
+                "telling further ones the last time without a reservation",
                 service,
                 max(0.0, longest),
             )
-        self.crowded += 1
-        self.crowded_at = moment
+        self.no_slot_count += 1
+        self.no_slot_at = moment
         return whole_ms(max(MIN_WAIT_SECONDS, longest - min(spread, longest / 2)))
 
     def log_served(self, service, moment):
         """Log the end of a state in which time slots were lacking."""
-        if self.crowded and moment - self.crowded_at >= CALM_SECONDS:
+        if self.no_slot_count and moment - self.no_slot_at >= CALM_SECONDS:
             log.notice(
                 "refused requests to {} have time slots again, after {} without; "
                 "promising return times",
                 service,
-                self.crowded,
+                self.no_slot_count,
             )
-            self.crowded = 0
+            self.no_slot_count = 0
 
 
 def due_time(call, rule, started):
--- a/tests/unit/daemon/test_return_times.py
+++ b/tests/unit/daemon/test_return_times.py
@@ -14,7 +14,10 @@
 from papayabay_daemon._internal.calls.flow import CallFlow
 from papayabay_daemon._internal.lifetime.ranks import best_rank
 from papayabay_daemon._internal.retries import ReturnTimes
-from papayabay_daemon._internal.retries.promises import MAX_PROMISES, Promises
+from papayabay_daemon._internal.retries.reservations import (
+    MAX_RESERVATIONS,
+    Reservations,
+)
 from tests.lib.cluster_fakes import make_settings
 from tests.unit.daemon.account_support import account_call
 from tests.unit.daemon.returns_model import Model, bursts
@@ -67,13 +70,13 @@
         self.assertFalse(self.returns.recognise(self.call("/199")))
         self.assertGreater(self.told(remaining=0.0), 0)
 
-    def test_a_time_too_late_to_be_served_is_not_promised(self):
+    def test_a_time_too_late_to_be_served_is_not_reserved(self):
         """Guards against best ranks for requests that then end late."""
         self.returns.usual_s["svc/read"] = 2.0
         self.admit()
         call = replace(self.call(), path_key="svc/read")
         self.assertGreater(self.returns.refused(call, 0, self.now + 1.0), 890)
-        self.assertFalse(self.returns.promises)
+        self.assertFalse(self.returns.reservations)
 
     def test_a_closed_class_is_not_told_the_next_time_slot(self):
         """Guards against returns while none of their class is admitted."""
@@ -157,15 +160,15 @@
         self.assertEqual(self.enter("jitter"), (rank, 0))
         self.assertEqual(self.enter("backlog")[0], 0)
 
-    def test_promises_are_bounded_and_expire(self):
+    def test_reservations_are_bounded_and_expire(self):
         """Guards against memory that grows with refusals."""
-        promises = Promises()
-        for number in range(MAX_PROMISES + 50):
-            promises.add(number % 3_000, 1.0, 0.0)
-        self.assertEqual(len(promises.in_order), MAX_PROMISES)
-        promises.take(2_999, 1.0)
-        promises.expire(5.0)
-        self.assertEqual((len(promises.in_order), promises.by_digest), (0, {}))
+        reservations = Reservations()
+        for number in range(MAX_RESERVATIONS + 50):
+            reservations.add(number % 3_000, 1.0, 0.0)
+        self.assertEqual(len(reservations.in_order), MAX_RESERVATIONS)
+        reservations.take(2_999, 1.0)
+        reservations.expire(5.0)
+        self.assertEqual((len(reservations.in_order), reservations.by_digest), (0, {}))
 
     def test_bursts_lose_fewer_requests_than_with_jitter(self):
         """Guards against a backlog that serves no more than random times."""
