--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
@@ -184,7 +184,7 @@
         if self.no_slot_count and moment - self.no_slot_at >= CALM_SECONDS:
             log.notice(
                 "refused requests to {} have time slots again, after {} without; "
-                "promising return times",
+                "reserving return times",
                 service,
                 self.no_slot_count,
             )
