Don't hold back a target that started after its daemon

Cause: a daemon sends 3 calls at a time to a target until its first answer, as the target may have stated a rate limit to the daemon's predecessor. This held for each target without a cold start, also one that started after the daemon. A target found by its health answer was taken for another process with its first heartbeat, which states its start time; its rate limit was forgotten and it was held back again. Change: the health request at the daemon's start shows whether anything listens at the target's address. If nothing does, or another incarnation was announced before, the target is newer than the daemon. A heartbeat completes an announcement by health of the same incarnation unless it is in its cold start.

--- a/packages/papayabay-core/src/papayabay_core/http/requester.py
+++ b/packages/papayabay-core/src/papayabay_core/http/requester.py
@@ -148,7 +148,7 @@
             async with asyncio.timeout(self.connect_seconds):
                 connection = await self.dial(host, port)
         except (OSError, TimeoutError) as error:
-            raise NotSent(str(error) or type(error).__name__) from None
+            raise NotSent(str(error) or type(error).__name__) from error
         self.open.add(connection)
         return connection
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/rate_limit.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/rate_limit.py
@@ -15,8 +15,8 @@
 """Lowest rate that is applied. Only an answer tells that a limit has ended, so
 a target that takes nothing still gets a call now and then."""
 UNREPORTED_CALLS = 3
-"""Calls in flight until the first answer of a target that was running before
-this daemon, and may have stated a limit to the daemon's predecessor."""
+"""Calls in flight until the first answer of a target that may have started
+before this daemon, and may have stated a limit to the daemon's predecessor."""
 log = logbook.Logger("papayabay.admission")
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
@@ -108,6 +108,21 @@
         own = (self.service, self.host, self.port, self.process)
         return own == (other.service, other.host, other.port, other.process)
 
+    def completed_by(self, other):
+        """Whether another announcement adds this process's start time.
+
+        A health answer, from which a target that was already running is
+        announced, states none. A process that is still in its cold start may
+        be another one.
+        """
+        own = (self.service, self.host, self.port, self.incarnation)
+        return (
+            not self.born_ms
+            and other.born_ms > 0
+            and not (self.sequence or self.cold_start_ms or other.cold_start_ms)
+            and own == (other.service, other.host, other.port, other.incarnation)
+        )
+
     def equals_except_sequence(self, other):
         """Whether another announcement differs only in its sequence number."""
         return values_except_sequence(self) == values_except_sequence(other)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/discovery.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/discovery.py
@@ -87,6 +87,8 @@
             async with asyncio.timeout(HEALTH_TIMEOUT_SECONDS):
                 return await requester.send("GET", url)
         except (OSError, TimeoutError, ValueError) as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self.registry.record_absent()
             log.info(
                 "health request to the target failed: {!r}; "
                 "waiting for it to announce itself",
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -36,6 +36,12 @@
         Highest sequence number by `Announcement.process`.
     changed : asyncio.Event
         Set at each change.
+    first_incarnation : str or None
+        Incarnation of the first target announced, which may have been running
+        before this daemon; None if there is none.
+    was_absent : bool
+        Whether nothing listened at the target's address when it was checked,
+        before the first announcement.
     """
 
     def __init__(self, clock=now):
@@ -46,6 +52,8 @@
         self.connect_failures = 0
         self.sequences = OrderedDict()
         self.changed = asyncio.Event()
+        self.first_incarnation = None
+        self.was_absent = False
 
     @property
     def current(self):
@@ -73,11 +81,15 @@
             return False
         moment = self.clock()
         previous = self.current
+        if previous is not None and previous.completed_by(announcement):
+            previous.born_ms = announcement.born_ms
         if previous is not None and previous.process != announcement.process:
             # An address has one process at a time, so the previous one has
             # ended. Its announcements may still arrive late.
             self.record_sequence(previous.process, ENDED)
         known = previous is not None and previous.same_process(announcement)
+        if self.first_incarnation is None and not self.was_absent:
+            self.first_incarnation = announcement.incarnation
         announcement.announced_at = previous.announced_at if known else moment
         if known:
             announcement.cold_start_ms = previous.cold_start_ms
@@ -102,6 +114,22 @@
         self.notify()
         return True
 
+    def record_absent(self):
+        """Record that nothing listens at the target's address yet.
+
+        Each process announced from now on has started after this daemon.
+        """
+        if self.first_incarnation is None:
+            self.was_absent = True
+
+    def may_precede_daemon(self, announcement):
+        """Whether a target's process may have been running before this daemon.
+
+        It may then have told the daemon's predecessor what it no longer tells.
+        A restarted process may keep its incarnation and counts as running.
+        """
+        return announcement.incarnation == self.first_incarnation
+
     def is_outdated(self, announcement):
         """Return whether an announcement is outdated; else record its number.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -315,7 +315,9 @@
             slots=target.slots,
             cold_start_ms=target.cold_start_ms,
             announced_at=target.announced_at,
-            awaits_report=not target.cold_start_ms,
+            awaits_report=(
+                not target.cold_start_ms and self.registry.may_precede_daemon(target)
+            ),
             corrects_slowdown=policy.routing(target.service).score == "completion",
             random=self.random,
         )
