Notice an unanswered long poll half a second after its wait

Cause: a reader gave the store its full timeout of 1 s beyond the wait of a long poll. Readers' long polls end 1.67 s apart, so that a new version was missed for up to 2.67 s when open connections went silent; 2.5 s are allowed. Change: a long poll counts as unanswered 0.5 s after its wait. Requests without a wait keep their timeout of 1 s.

--- a/packages/papayabay-core/src/papayabay_core/platform/transport.py
+++ b/packages/papayabay-core/src/papayabay_core/platform/transport.py
@@ -51,7 +51,7 @@
             make_socket=keepalive_socket,
         )
 
-    async def read(self, url, query=None, wait_seconds=0.0):
+    async def read(self, url, query=None, timeout=None):
         """Send a GET request and return its `Reply`.
 
         All failures are raised as `PlatformError`.
@@ -60,12 +60,11 @@
         ----------
         url : str
         query : dict of str to str or None
-        wait_seconds : float
-            How long the platform may wait before it answers, in addition to
-            the timeout.
+        timeout : float or None
+            Seconds; None for the timeout of the settings.
         """
         try:
-            async with asyncio.timeout(self.timeout + wait_seconds):
+            async with asyncio.timeout(self.timeout if timeout is None else timeout):
                 reply = await self.exchange("GET", url, query=query)
         except (OSError, TimeoutError, ValueError) as error:
             raise PlatformError(f"{url}: {describe(error)}") from None
