Announce a version of one reader to all other readers at once

Cause: a reader announced a version to its own failure domain only, and only if it had it from the store. When the store had answered one reader alone, the rest of the fleet learned of it by three pushes and by gossip, up to a second later. Change: a reader announces each newer version, wherever it came from, to the readers of all failure domains, and to its own domain if that was not done yet. These are datagrams between daemons; the store gets no more requests.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
@@ -52,11 +52,28 @@
             while True:
                 await self.state.push_due.wait()
                 self.state.push_due.clear()
+                self.announce()
                 for peer in self.pick_partners():
                     await slots.acquire()
                     task = group.create_task(self.push(peer))
                     task.add_done_callback(lambda _: slots.release())
 
+    def announce(self):
+        """Announce the latest version to the other readers, if this is one.
+
+        Usually they have it from the store as well. When the store has not
+        answered them, pushes and gossip would reach some of them only after a
+        second. A version that did not come from the store is also announced
+        to the own domain, whose other readers may not have it either.
+        """
+        if not self.readers.is_reader():
+            return
+        self.state.members.announce_version(self.readers.others_of_fleet())
+        latest = self.state.version.latest.version
+        if latest > self.state.announced:
+            self.state.announced = latest
+            self.state.members.announce_version(self.readers.followers())
+
     def pick_partners(self):
         """Return a few random peers to push to.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/readers.py
@@ -202,6 +202,17 @@
         local = self.members.local
         return [member for member in self.current() if member is not local]
 
+    def others_of_fleet(self):
+        """Return the readers of all failure domains except this daemon."""
+        by_domain = {}
+        for member in self.members.live():
+            by_domain.setdefault(member.failure_domain, []).append(member)
+        by_domain.pop(self.members.local.failure_domain, None)
+        others = self.other_readers()
+        for members in by_domain.values():
+            others += pick_by_rendezvous(members, PURPOSE, self.count)
+        return others
+
     def first_of_fleet(self):
         """Return the fleet's first reader, or None if it is this daemon."""
         self.current()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/state.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/state.py
@@ -56,6 +56,8 @@
         Set by each confirmation.
     loaded : asyncio.Event
         Set once the first load has ended, successful or not.
+    announced : int
+        Latest version that was announced to the own failure domain.
     push_due : asyncio.Event
         Set when there is a newer version to push to peers.
     counts : dict of str to int
@@ -71,6 +73,7 @@
         self.distrusted_until = float("-inf")
         self.reconfirmed = asyncio.Event()
         self.loaded = asyncio.Event()
+        self.announced = 0
         self.push_due = asyncio.Event()
         self.counts = dict.fromkeys(COUNTS, 0)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -203,4 +203,5 @@
         newer = configuration.version > self.state.version.latest.version
         self.state.apply_full_version(configuration)
         if newer:
+            self.state.announced = configuration.version
             self.state.members.announce_version(self.readers.followers())
--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -101,6 +101,8 @@
         Daemons that can't reach the store.
     turned_away : dict of str to str
         Daemons that the store turns away, and how.
+    severed : object
+        Replaced by `sever_store`.
     late : list of (str, float, int, int)
         Daemon, time, version in force and version required, for each daemon
         that was behind longer than the bound.
@@ -125,6 +127,7 @@
         self.version, self.acked = 1, [(0.0, 1)]
         self.changed = asyncio.Event()
         self.store_calls = 0
+        self.severed = object()
         self.loss = 0.0
         self.cuts, self.cut_off, self.turned_away = {}, set(), {}
         self.disturbed_at, self.served_since, self.store_disturbed_at = {}, {}, 0.0
@@ -181,6 +184,10 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def sever_store(self):
+        """Let the store answer no request for changes that is in flight."""
+        self.severed = object()
+
     async def cut(self, names, seconds, one_way=False, store=True):
         """Cut daemons from all others and the store."""
         names, key = frozenset(names), object()
--- a/tests/unit/daemon/configuration_network.py
+++ b/tests/unit/daemon/configuration_network.py
@@ -11,6 +11,8 @@
 DELAY_S = 0.0015
 STORE_DELAY_S = 0.004
 STORE_TIMEOUT_S = 1.0
+FEED_TIMEOUT_S = 0.5
+"""Time beyond its wait after which a request for changes fails."""
 FEED_S = 10.0
 DEAD_CONNECTION_S = 3.0
 """Time after which a keepalive closes a connection that was cut."""
@@ -160,11 +162,15 @@
         fleet = self.fleet
         wait = FEED_S * share
         deadline = fleet.clock() + wait
+        severed = fleet.severed
         await self.ask(wait)
         while self.position == fleet.version and fleet.clock() < deadline:
             with suppress(TimeoutError):
                 async with asyncio.timeout_at(deadline):
                     await fleet.changed.wait()
+        if severed is not fleet.severed:
+            await asyncio.sleep(max(0, deadline - fleet.clock()) + FEED_TIMEOUT_S)
+            raise PlatformError("no answer")
         if self.name in fleet.cut_off:
             await asyncio.sleep(DEAD_CONNECTION_S)
             raise PlatformError("connection timed out")
