Keep the readers' waits out of phase after a silence

Cause: a reader whose request for changes was lost counted its next wait from its recovery. Readers that had recovered one after the other then waited in step, and the next silence of the store went unnoticed for a whole wait (3.3 s with two readers) and the timeout. Change: a new `WaitSchedule` counts waits from events that the readers share: a change, from wherever it came, or the scheduled end of the last wait, answered or not. The store is not asked more often.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -7,6 +7,7 @@
 
 from papayabay_core.configuration import Configuration
 from papayabay_core.exceptions import PlatformError, PolicyError
+from papayabay_daemon._internal.configuration.wait_schedule import WaitSchedule
 from papayabay_daemon._internal.outage import Outage
 
 FIRST_PAUSE_SECONDS = 0.25
@@ -24,7 +25,15 @@
 
 
 class VersionWatch(Protocol):
-    """A store that has the newest version in full, and reports changes."""
+    """A store that has the newest version in full, and reports changes.
+
+    Attributes
+    ----------
+    max_wait : float
+        Longest wait for a change, in seconds.
+    """
+
+    max_wait: float
 
     async def load(self) -> Configuration:
         """Return the newest version, version 0 before any was written.
@@ -73,8 +82,8 @@
         Whether the next read may wait for a change, rather than load.
     stored_version : int
         Version that the store returned last; 0 if it can't be read.
-    was_current : bool
-        Whether the last request for changes ended without any.
+    schedule : WaitSchedule
+        When the next request for changes has to end.
     waiting : asyncio.Timeout or None
         Timeout of the request for changes that is in flight.
     """
@@ -87,7 +96,7 @@
         self.outage = Outage(log, "configuration store", state.clock)
         self.loaded = False
         self.stored_version = 0
-        self.was_current = False
+        self.schedule = WaitSchedule(readers, state.clock, watch.max_wait)
         self.waiting = None
         self.pause = FIRST_PAUSE_SECONDS
         state.version.listeners.append(self.expect_change)
@@ -100,13 +109,15 @@
         """Follow the store while this daemon has to read it."""
         if self.loaded:
             await asyncio.sleep(SETTLE_SECONDS)
+        self.schedule.reset()
         while True:
             if self.readers.must_read():
                 await self.follow()
             else:
                 # The last version read here will be stale when it becomes a
                 # reader again.
-                self.loaded = self.was_current = False
+                self.loaded = False
+                self.schedule.reset()
                 self.readers.expire_loss()
                 await asyncio.sleep(RECHECK_SECONDS)
 
@@ -132,7 +143,7 @@
             Also when a peer has had a newer version for a while: the store
             has then not answered this request.
         """
-        share = self.readers.wait_share(self.was_current)
+        share = self.schedule.start_wait()
         try:
             async with asyncio.timeout(None) as self.waiting:
                 configuration = await self.watch.changed(share)
@@ -141,13 +152,20 @@
                 f"no answer {CHANGE_LAG_SECONDS:.1f} s after a newer version came "
                 f"from a peer"
             ) from None
+        except PolicyError:
+            self.schedule.record_change()
+            raise
         finally:
             self.waiting = None
-        self.was_current = configuration is None
+        if configuration is None:
+            self.schedule.record_unchanged()
+        else:
+            self.schedule.record_change()
         return configuration
 
     def expect_change(self, policy):
         """Limit the wait for a change after a peer has sent one."""
+        self.schedule.record_change()
         if self.waiting is not None and self.waiting.when() is None:
             loop = asyncio.get_running_loop()
             self.waiting.reschedule(loop.time() + CHANGE_LAG_SECONDS)
@@ -176,7 +194,7 @@
         try:
             configuration = await request()
         except PlatformError as error:
-            self.loaded = self.was_current = False
+            self.loaded = False
             self.state.counts["store_errors"] += 1
             self.outage.record_failure(error)
             self.readers.record_access(False)
--- a/tests/unit/daemon/configuration_network.py
+++ b/tests/unit/daemon/configuration_network.py
@@ -144,6 +144,8 @@
 class SimulatedWatch:
     """The operator's versions as one daemon reads them; a `VersionWatch`."""
 
+    max_wait = FEED_S
+
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.name = name
--- a/tests/unit/daemon/test_confirmations.py
+++ b/tests/unit/daemon/test_confirmations.py
@@ -89,6 +89,7 @@
         self.clock = clock
         self.answer = answer
         self.latency = 3.0
+        self.max_wait = 10.0
 
     async def load(self):
         self.clock.now += self.latency
--- a/tests/unit/daemon/test_silent_store.py
+++ b/tests/unit/daemon/test_silent_store.py
@@ -7,6 +7,10 @@
 from tests.unit.daemon.configuration_network import FEED_TIMEOUT_S
 
 IN_FORCE_SECONDS = 2.5
+SHAPES = (2, 2), (2, 1), (4, 2), (6, 3), (16, 4)
+"""Daemons and failure domains."""
+WAITS = (6.0, 3.4, 9.3, 12.1, 4.7, 7.5, 5.2, 10.8)
+"""Seconds before each change, so that the changes hit the waits anywhere."""
 NOTICE_SECONDS = 10.0 / 6 + FEED_TIMEOUT_S
 """Longest time from a change until a reader notices that its request is lost:
 the next wait ends within 1.67 s, and the request fails after its timeout."""
@@ -39,3 +43,51 @@
             play(scenario, 30, 5, seed)
             bound = IN_FORCE_SECONDS - NOTICE_SECONDS
             self.assertLess(max(times), bound, f"seed {seed}")
+
+
+class SilentStoreTests(unittest.TestCase):
+    def play_all_shapes(self, prepare):
+        """Measure changes at which all open requests to the store go silent.
+
+        Parameters
+        ----------
+        prepare : callable
+            Coroutine function that is awaited before each of them.
+        """
+        for size, domains in SHAPES:
+            times = []
+
+            async def scenario(fleet, times=times):
+                for wait in WAITS:
+                    await asyncio.sleep(wait)
+                    await prepare(fleet)
+                    fleet.sever_store()
+                    fleet.change()
+                    times.append(round(await time_until(fleet, all), 2))
+
+            play(scenario, size, domains)
+            self.assertLess(max(times), IN_FORCE_SECONDS, f"{size}: {times}")
+
+    def test_version_arrives_in_time_after_each_silence(self):
+        """Readers waited in step after one had got a version from the other.
+
+        It counted its next wait from the failure of its request, a second
+        after the version, and the other reader from the version.
+        """
+
+        async def prepare(fleet):
+            pass
+
+        self.play_all_shapes(prepare)
+
+    def test_version_arrives_in_time_after_a_silence_without_a_change(self):
+        """Readers waited in step after each had lost a request.
+
+        The first waits after a failure differ by as much as the failures did.
+        """
+
+        async def prepare(fleet):
+            fleet.sever_store()
+            await asyncio.sleep(25.0)
+
+        self.play_all_shapes(prepare)
--- a/tests/unit/daemon/test_version_watching.py
+++ b/tests/unit/daemon/test_version_watching.py
@@ -61,6 +61,7 @@
 
     def __init__(self):
         self.version = 1
+        self.max_wait = 10.0
         self.calls = []
 
     async def load(self):
