--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_ring.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_ring.py
@@ -7,9 +7,13 @@
 
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.interfaces import Member, MemberState
+from papayabay_daemon._internal.membership.detector import wait_event
 
 REFRESH_SECONDS = 0.1
-"""Interval at which the ring is compared with the membership."""
+"""Shortest interval of comparisons of the ring with the membership."""
+RECHECK_SECONDS = 2.0
+"""Interval of comparisons while nothing happens. They notice that a lost
+member is forgotten, for which there is no event."""
 RESERVATION_SECONDS = 10.0
 """How long the ring entry of a dead member is reserved. A member that is only
 cut off goes on granting tokens on its side of the partition."""
@@ -70,6 +74,8 @@
         enough to grant tokens by.
     lost_count : int
         Number of members that this daemon knows to be lost.
+    changed : asyncio.Event
+        Set when the record of a member has changed.
     """
 
     def __init__(self, members, clock=now):
@@ -89,12 +95,30 @@
         self.lost_count = 0
         self.reported_lost = 0
         self.reported_at = float("-inf")
+        self.changed = asyncio.Event()
+
+    def member_changed(self, member):
+        """Cause a refresh after a change of the membership."""
+        self.changed.set()
 
     async def run(self):
         """Keep the ring up to date with the membership until cancelled."""
         while True:
+            self.changed.clear()
             self.refresh()
             await asyncio.sleep(REFRESH_SECONDS)
+            if not self.awaits_deadline():
+                await wait_event(self.changed, RECHECK_SECONDS)
+
+    def awaits_deadline(self):
+        """Return whether the ring may change without a change of a member.
+
+        It settles by age after the start, unmet seeds count for a while, and
+        a reserved entry expires.
+        """
+        if self.reserved or self.settled_at is None:
+            return True
+        return self.clock() - self.started_at < MAX_SETTLE_SECONDS
 
     def refresh(self):
         """Rebuild the ring if the members have changed."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/pause.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/pause.py
@@ -1,11 +1,12 @@
 """Detects that this process was suspended, to refuse stale requests."""
 
-import asyncio
-
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.ticker import Ticker
 
-TICK_INTERVAL_SECONDS = 0.1
+TICK_INTERVAL_SECONDS = 0.2
+"""As long as the usual period of the link checks, with which a tick shares its
+wake-up. Requests tick too, so only an idle daemon depends on this interval."""
 MIN_PAUSE_SECONDS = 1.0
 """Time without a tick that counts as a pause."""
 REFUSE_AFTER_RESUME_SECONDS = 0.1
@@ -25,10 +26,13 @@
     ----------
     clock : callable
         Returns seconds; has to count the time in which the VM is suspended.
+    ticker : Ticker or None
+        Time base of the ticks; None for an own one.
     """
 
-    def __init__(self, clock=now):
+    def __init__(self, clock=now, ticker=None):
         self.clock = clock
+        self.ticker = ticker or Ticker()
         self.last_tick_at = clock()
         self.resumed_at = float("-inf")
 
@@ -36,7 +40,7 @@
         """Tick until cancelled."""
         while True:
             self.tick()
-            await asyncio.sleep(TICK_INTERVAL_SECONDS)
+            await self.ticker.sleep(TICK_INTERVAL_SECONDS)
 
     def tick(self):
         """Record that the process runs, and detect a pause before now."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/heartbeats.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/heartbeats.py
@@ -4,6 +4,7 @@
 
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.links.liveness import LivenessDetector
+from papayabay_daemon._internal.ticker import Ticker
 
 
 class HeartbeatLoop:
@@ -16,10 +17,16 @@
     Parameters
     ----------
     timing : TimingSettings
+
+    Attributes
+    ----------
+    ticker : Ticker
+        Time base of the checks, for other periodic tasks to share.
     """
 
     def __init__(self, timing):
         self.timing = timing
+        self.ticker = Ticker()
         self.links = set()
         self.task = None
 
@@ -34,7 +41,7 @@
         """Check all links once per period while there are any."""
         detector = LivenessDetector(self.timing, now())
         while self.links:
-            await asyncio.sleep(detector.period)
+            await self.ticker.sleep(detector.period)
             moment = now()
             for link in list(self.links):
                 self.check(link, detector, moment)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/log_lines.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/log_lines.py
@@ -7,7 +7,7 @@
 BUFFER_BYTES = 256 * 1024
 """Limit of output that waits for a slow reader, about a thousand lines."""
 FLUSH_SECONDS = 0.1
-"""Interval at which batched lines are written."""
+"""Delay after which batched lines are written."""
 FLUSH_BYTES = 16 * 1024
 """Size of a batch that is written without waiting for the interval."""
 LINES_PER_SECOND = 300.0
@@ -32,6 +32,8 @@
     ----------
     dropped : int
         Lines dropped since their number was last written.
+    pending : asyncio.Event
+        Set while lines are buffered.
     """
 
     def __init__(self, descriptor):
@@ -39,6 +41,7 @@
         self.buffer = deque()
         self.buffered_bytes = 0
         self.dropped = 0
+        self.pending = asyncio.Event()
         os.set_blocking(self.descriptor, False)
 
     def write(self, line):
@@ -65,13 +68,15 @@
             return
         self.buffer.append(content)
         self.buffered_bytes += len(content)
+        self.pending.set()
         if self.buffered_bytes >= FLUSH_BYTES:
             self.flush()
 
     async def run(self):
-        """Flush the buffer at each interval, until cancelled."""
+        """Flush the buffer a while after it got lines, until cancelled."""
         try:
             while True:
+                await self.pending.wait()
                 await asyncio.sleep(FLUSH_SECONDS)
                 self.flush()
         finally:
@@ -92,12 +97,13 @@
                 self.dropped += len(self.buffer)
                 self.buffer.clear()
                 self.buffered_bytes = 0
-                return
+                break
             self.buffered_bytes -= written
             if written < len(content):
                 self.buffer[0] = content[written:]
                 return
             self.buffer.popleft()
+        self.pending.clear()
 
 
 class LineRateLimit:
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -162,6 +162,7 @@
             self.policy, self.configuration.confirmer, self.random
         )
         self.owner_ring = ring = OwnerRing(self.membership)
+        self.membership.on_change(ring.member_changed)
         self.limit_owner = LimitOwner(self.policy, ring, self.links)
         self.owner_limiter = OwnerLimiter(
             self.membership.local, ring, self.limit_owner, self.links, self.random
@@ -232,7 +233,7 @@
             self.membership,
         )
         self.objectives = ObjectiveCounters()
-        self.pause_detector = PauseDetector()
+        self.pause_detector = PauseDetector(ticker=self.links.heartbeats.ticker)
         self.flow = CallFlow(
             self.call_components,
             self.call_tree,
--- a/tests/unit/daemon/limits_fleet.py
+++ b/tests/unit/daemon/limits_fleet.py
@@ -48,6 +48,7 @@
         self.listed = None
         self.started_at = asyncio.get_running_loop().time()
         self.seeds = fleet.listed_seeds()
+        self.listeners = []
 
     def live(self):
         if self.listed is None:
@@ -78,12 +79,17 @@
     def add(self, name):
         self.died_at.pop(name, None)
         self.alive[name] = self.fleet.members[name]
-        self.listed = None
+        self.changed(name)
 
     def remove(self, name):
         if self.alive.pop(name, None) is not None:
             self.died_at[name] = asyncio.get_running_loop().time()
-            self.listed = None
+            self.changed(name)
+
+    def changed(self, name):
+        self.listed = None
+        for listener in self.listeners:
+            listener(self.fleet.members[name])
 
 
 class FakeLinks:
@@ -117,6 +123,7 @@
         local = fleet.members[name]
         self.view = MembershipView(fleet, local)
         self.ring = OwnerRing(self.view, clock)
+        self.view.listeners.append(self.ring.member_changed)
         links = FakeLinks(fleet, name)
         owner = LimitOwner(lambda: fleet.policy, self.ring, links, clock)
         rng = random.Random(f"{fleet.seed}-{name}")
--- a/tests/unit/daemon/test_log_lines.py
+++ b/tests/unit/daemon/test_log_lines.py
@@ -1,5 +1,6 @@
 """Tests of writing log lines: buffering, rate limit and decision lines."""
 
+import asyncio
 import json
 import os
 import unittest
@@ -10,9 +11,11 @@
 from papayabay_daemon._internal.log_lines import (
     BUFFER_BYTES,
     BURST_LINES,
+    FLUSH_SECONDS,
     LINES_PER_SECOND,
     LineWriter,
 )
+from tests.lib.virtual_time import run_in_virtual_time
 from tests.unit.daemon.door_fakes import FakeClock, call
 
 
@@ -61,6 +64,38 @@
         buffered = 2_000 - self.writer.dropped
         self.assertEqual(self.texts(), [line.encode()] * buffered)
 
+    def test_batch_is_written_after_the_delay(self):
+        """Guards against lines that stay in the buffer of an idle daemon."""
+
+        async def run():
+            task = asyncio.ensure_future(self.writer.run())
+            await asyncio.sleep(60.0)
+            for line in (b"a\n", b"b\n"):
+                self.writer.enqueue(line)
+                self.assertEqual(self.drain(), b"")
+                await asyncio.sleep(FLUSH_SECONDS * 1.01)
+                self.assertEqual(self.drain(), line)
+            task.cancel()
+
+        run_in_virtual_time(run)
+
+    def test_lines_of_a_full_pipe_are_written_once_it_is_read(self):
+        """Guards against a rest that waits for the next line."""
+
+        async def run():
+            task = asyncio.ensure_future(self.writer.run())
+            for _ in range(150):
+                self.writer.write("x" * 1_000)
+            self.assertGreater(self.writer.buffered_bytes, 0)
+            content = self.drain()
+            while len(content) < 150 * 1_001:
+                await asyncio.sleep(FLUSH_SECONDS * 1.01)
+                self.assertGreater(len(part := self.drain()), 0)
+                content += part
+            task.cancel()
+
+        run_in_virtual_time(run)
+
 
 class DecisionTest(PipeTestCase):
     def setUp(self):
