Accept repeated heartbeats of the target without parsing them

Cause: a target sends ten heartbeats a second, and nearly all differ from the one before in their sequence number only. Each was parsed as an HTTP request, run as a task, decoded, checked and compared with the announcement in force. Change: the listener learns a message once two heartbeats in a row had the same bytes except for the digits of the number, and the digits were the decoded number both times. A message that matches renews the lease at once, if its announcement is still in force and the number is a newer one, and gets the same answer as before. Everything else takes the usual way.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/protocol.py
@@ -34,8 +34,12 @@
         Whether each connection is closed after its next answer.
     connections : set of ServerConnection
         Open connections.
+    connection_class : type
+        Class of the connections.
     """
 
+    connection_class = ServerConnection
+
     def __init__(self, host, port, limits, dialect=None):
         self.host = host
         self.port = port
@@ -49,7 +53,7 @@
     async def start(self):
         """Start to listen; sets `port` to the actual port."""
         self.server = await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(self, self.limits),
+            lambda: self.connection_class(self, self.limits),
             self.host,
             self.port,
             backlog=BACKLOG,
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -102,6 +102,35 @@
         self.notify()
         return True
 
+    def renew(self, announcement, sequence):
+        """Renew the lease of the announcement in force under a new number.
+
+        The same as `announce` with an announcement that is equal except for
+        its sequence number, for callers that know that it is.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            The one that is expected to be in force.
+        sequence : int
+
+        Returns
+        -------
+        Announcement or None
+            The one that is in force now; None, with nothing changed, if
+            another one was in force or the number is not a newer one.
+        """
+        if self.current is not announcement:
+            return None
+        process = announcement.process
+        if sequence <= self.sequences.get(process, 0):
+            return None
+        self.record_sequence(process, sequence)
+        self.announcement = replace(announcement, sequence=sequence)
+        self.lease_expires_at = self.clock() + announcement.lease_ms / 1000
+        self.connect_failures = 0
+        return self.announcement
+
     def is_outdated(self, announcement):
         """Return whether an announcement is outdated; else record its number.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
@@ -17,7 +17,12 @@
     bad_request,
 )
 from papayabay_daemon._internal.doors.protocol import Door
-from papayabay_daemon._internal.doors.response import json_answer
+from papayabay_daemon._internal.doors.response import (
+    DoorResponse,
+    HttpDate,
+    json_answer,
+)
+from papayabay_daemon._internal.http.serving import ServerConnection
 from papayabay_daemon._internal.target.announcement import Announcement
 from papayabay_daemon._internal.target.dialect import (
     TargetDialect,
@@ -36,8 +41,11 @@
     "Announcement",
     "CallerDialect",
     "Door",
+    "DoorResponse",
     "HeaderNames",
+    "HttpDate",
     "IncomingRequest",
+    "ServerConnection",
     "TargetDialect",
     "Verdict",
     "VersionWatch",
