Evict paths that are no longer called from the repeat level

Cause: `RepeatLevel.paths` holds at most 16 paths and was never aged. Paths that are no longer called stayed in it until a restart and kept new ones out, and the share of calls with a depth was that of all calls since the start. Change: the counts decay with each period, and a path without calls is evicted after 6 to 25 s. Measured result: the two new tests fail without the change (the table holds the 16 old paths; the level of a path does not follow the depth of its calls) and pass with it; tests.unit.daemon.test_repeat_level passes. Conclusion: the table holds the paths that are called now.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/repeat_level.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/repeat_level.py
@@ -29,6 +29,13 @@
 ARRIVAL_DECAY = 0.93
 """Share of the arrivals that is carried over into the next period. The rates
 are averaged over 1.4 s: a narrow range of levels has few arrivals."""
+PATH_DECAY = 0.95
+"""The same for the calls of a path. They only show whether most of them have a
+depth, for which a longer memory does."""
+MIN_PATH_CALLS = 0.05
+"""Calls, with their decay, below which a path is evicted: 6 s after the only
+call of a path, 25 s after the last one of a busy path. Otherwise paths that
+are no longer called would keep new ones out of the table for good."""
 LOWER_WEIGHT = 0.5
 """Part of the way to a lower level that one update makes."""
 RAISE_SHARE = 0.05
@@ -102,8 +109,8 @@
         if counts is None:
             if len(self.paths) >= MAX_PATH_LEVELS:
                 return
-            counts = self.paths[call.path_key] = [0, 0]
-        counts[0] += 1
+            counts = self.paths[call.path_key] = [0.0, 0.0]
+        counts[0] += 1.0
         counts[1] += call.depth > 0
 
     def record_end(self, rejected, now):
@@ -154,6 +161,7 @@
         late_s = now - self.period_end
         self.period_end = now + PERIOD_S
         self.rejections.end_period()
+        self.age_paths(PATH_DECAY ** (1.0 + late_s / PERIOD_S))
         if late_s > MAX_PERIODS * PERIOD_S:
             self.rejections = Rejections()
             self.arrivals = [0.0] * BUCKETS
@@ -164,6 +172,14 @@
         self.arrivals = [count * ARRIVAL_DECAY for count in self.arrivals]
         self.measured_s *= ARRIVAL_DECAY
 
+    def age_paths(self, factor):
+        """Multiply the calls of all paths by a factor; evict unused paths."""
+        self.paths = {
+            path_key: [calls * factor, deep * factor]
+            for path_key, (calls, deep) in self.paths.items()
+            if calls * factor >= MIN_PATH_CALLS
+        }
+
     def next_position(self, rejected_share):
         """Return the new position; None to admit all calls."""
         if rejected_share < MIN_REJECTED_SHARE or not self.measured_s:
--- a/tests/unit/daemon/test_repeat_level.py
+++ b/tests/unit/daemon/test_repeat_level.py
@@ -1,9 +1,12 @@
 """The level up to which the retry budget carries call trees."""
 
 import unittest
+from types import SimpleNamespace
 
+from papayabay_core.calls import MAX_PATH_LEVELS
 from papayabay_core.importance import ADMIT_ALL
 from papayabay_daemon._internal.admission.rejections import MIN_CALLS, Rejections
+from papayabay_daemon._internal.admission.repeat_level import RepeatLevel
 from tests.unit.daemon.repeat_fleet import RepeatFleet
 
 
@@ -60,6 +63,34 @@
         self.assertIsNone(level.position)
         self.assertEqual(level.closed({"a": 5}, fleet.at), {"a": 5})
 
+    def test_paths_that_are_no_longer_called_are_evicted(self):
+        """Failure: paths of former calls keep new ones out of the table."""
+        level = RepeatLevel()
+        at = 1_000.0
+        for number in range(MAX_PATH_LEVELS):
+            for _ in range(1_000):
+                call = SimpleNamespace(level=0, depth=1, path_key=f"old/{number}")
+                level.record_arrival(call, at)
+        for _ in range(300):
+            at += 0.1
+            call = SimpleNamespace(level=0, depth=1, path_key="new/path")
+            level.record_arrival(call, at)
+        self.assertEqual(list(level.paths), ["new/path"])
+        level.record_end(False, at + 60.0)
+        self.assertEqual(level.paths, {})
+
+    def test_level_follows_the_depth_of_the_latest_calls(self):
+        """Failure: calls of long ago decide whether a path gets a level."""
+        level = RepeatLevel()
+        at = 1_000.0
+        for depth, published in ((1, True), (0, False), (1, True)):
+            for _ in range(1_000):
+                at += 0.01
+                call = SimpleNamespace(level=0, depth=depth, path_key="path")
+                level.record_arrival(call, at)
+            level.set_position(1.0, at)
+            self.assertEqual("path" in level.path_levels, published)
+
 
 if __name__ == "__main__":
     unittest.main()
