Send a call to the target in one coroutine, and parse its head once

Cause: a call to the target passed five coroutines, a timeout around them and a filter that looked at each field four times; the load report and the Keep-Alive field were parsed anew for each answer. Change: `HttpTargetClient.run` waits for the future of its connection, which has a timer of its own. Names and values of an answer are kept apart, so that what depends on the names is cached by head. An unchanged announcement is recognised by its identity. All caches are bounded; the number of fields is still limited, also in trailers.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -1,15 +1,50 @@
 """HTTP client connections, which send one request at a time."""
 
 from collections import deque
+from functools import lru_cache
 
 import httptools
 
 from papayabay_core.http.connection import HttpConnection
-from papayabay_core.http.heads import Head, HeaderCollector
+from papayabay_core.http.heads import MAX_HEADER_FIELDS, Head, HeaderCollector
 from papayabay_core.http.payload import Payload, PayloadBroken
 
 FIRST_FINAL_STATUS = 200
 """Lower statuses are interim answers (1xx)."""
+MAX_CACHED_HEADS = 64
+"""Sequences of field names whose lower-case forms are cached. A server sends
+few different ones, and their length is limited with that of the head."""
+
+
+class AnswerHead(Head):
+    """The head of an answer.
+
+    Servers repeat the same names in the same order, so names and values are
+    kept apart, and what depends on the names alone can be cached.
+
+    Parameters
+    ----------
+    fields : list of (bytes, bytes)
+
+    Attributes
+    ----------
+    names, values : tuple of bytes
+        As received, in their original order.
+    """
+
+    def __init__(self, fields):
+        self.fields = fields
+        self.target = b""
+        self.names, self.values = zip(*fields, strict=True) if fields else ((), ())
+        self.first = dict(
+            zip(reversed_keys(self.names), reversed(self.values), strict=True)
+        )
+
+
+@lru_cache(maxsize=MAX_CACHED_HEADS)
+def reversed_keys(names):
+    """Return field names in lower case and in reverse order."""
+    return tuple(name.lower() for name in reversed(names))
 
 
 class Message:
@@ -19,7 +54,7 @@
     ----------
     status : int
         HTTP status.
-    head : Head
+    head : AnswerHead
     payload : Payload
         Its body, which may still be incomplete.
     """
@@ -44,8 +79,12 @@
     Attributes
     ----------
     received : deque of Message
-        Answers not returned by `receive` yet. They are complete, or have at
-        least `inline_body_bytes` of their body.
+        Answers that no reader has waited for yet. They are complete, or have
+        at least `inline_body_bytes` of their body.
+    waiter : asyncio.Future or None
+        The reader's, while it waits for an answer.
+    timer : asyncio.TimerHandle or None
+        Ends the wait of the reader.
     busy : bool
         Whether a request was sent whose answer has not been read completely.
     unusable : bool
@@ -64,6 +103,7 @@
         self.delivered = False
         self.received = deque()
         self.waiter = None
+        self.timer = None
         self.error = None
         self.bodiless = False
         self.busy = False
@@ -81,20 +121,34 @@
         self.bodiless = bodiless
         self.busy = True
 
-    async def receive(self):
-        """Return the next answer: head and body, or the first part of a body.
+    def receive(self, seconds=None):
+        """Return a future of the next answer: all of it, or its first part.
 
-        Raises
-        ------
-        ConnectionError
-            When the connection was closed or the server sent invalid HTTP.
+        A future with a timer of its own, as a coroutine and a time-out around
+        it would double the cost of waiting.
+
+        Parameters
+        ----------
+        seconds : float or None
+            Time after which the future fails with `TimeoutError`; None waits
+            without limit.
+
+        Returns
+        -------
+        asyncio.Future
+            Its result is a `Message`. It fails with a `ConnectionError` when
+            the connection was closed or the server sent invalid HTTP.
         """
-        while not self.received:
-            if self.error is not None:
-                raise self.error
-            self.waiter = self.loop.create_future()
-            await self.waiter
-        return self.received.popleft()
+        waiter = self.loop.create_future()
+        if self.received:
+            waiter.set_result(self.received.popleft())
+        elif self.error is not None:
+            waiter.set_exception(self.error)
+        else:
+            self.waiter = waiter
+            if seconds is not None:
+                self.timer = self.loop.call_later(seconds, self.expire)
+        return waiter
 
     def abort(self):
         """Close the connection without sending what is buffered."""
@@ -127,15 +181,32 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.abort_with(f"what came is no answer: {error!r}")
             return
+        # Counted for each segment and each head, not for each field.
+        if len(self.fields) > MAX_HEADER_FIELDS:
+            self.abort_with("an answer has too many header fields")
+            return
         if within_head and self.in_head:
             self.head_bytes += len(data)
             if self.head_bytes > self.header_bytes:
                 self.abort_with("the head of an answer is too long")
 
+    def on_header(self, name, value):
+        """Add a field. Called for each field, so it does nothing else."""
+        self.fields.append((name, value))
+
     def on_headers_complete(self):
-        """Start an answer; interim answers are skipped."""
+        """Start an answer; interim answers are skipped.
+
+        Raises
+        ------
+        ValueError
+            When the answer has more than `MAX_HEADER_FIELDS`.
+        """
         status = self.parser.get_status_code()
-        head = Head(self.end_head())
+        fields = self.end_head()
+        if len(fields) > MAX_HEADER_FIELDS:
+            raise ValueError("too many header fields")
+        head = AnswerHead(fields)
         if status < FIRST_FINAL_STATUS:
             return
         self.message = Message(status, head, Payload(self))
@@ -175,8 +246,11 @@
     def deliver(self, message):
         """Pass an answer to the reader."""
         self.delivered = True
-        self.received.append(message)
-        self.wake()
+        waiter = self.end_wait()
+        if waiter is None or waiter.done():
+            self.received.append(message)
+        else:
+            waiter.set_result(message)
 
     def abort_with(self, detail):
         """Close the connection because of invalid input."""
@@ -191,9 +265,25 @@
         if self.message is not None:
             self.message.payload.fail(error)
             self.message = None
-        self.wake()
+        self.fail_wait(self.error)
+
+    def expire(self):
+        """End the reader's wait, as its time has passed."""
+        self.fail_wait(TimeoutError())
+
+    def fail_wait(self, error):
+        """Raise an error in the reader that waits for an answer."""
+        waiter = self.end_wait()
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+            # If the reader is cancelled in this iteration of the event loop,
+            # it never sees the error, which asyncio would log.
+            waiter.exception()
 
-    def wake(self):
-        """Wake the waiting reader."""
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
+    def end_wait(self):
+        """Return the future of a waiting reader, which waits no longer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        waiter, self.waiter = self.waiter, None
+        return waiter
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -4,9 +4,10 @@
 
 from papayabay_core.calls import Answer
 from papayabay_core.errors import CallError, ErrorKind
-from papayabay_daemon._internal.doors.headers import filter_headers, without_field
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.lifetime.timeouts import CallTimeout
 from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
+from papayabay_daemon._internal.target.answer_headers import AnswerHeaders
 from papayabay_daemon._internal.target.cancellation import CancelNotices
 from papayabay_daemon._internal.target.crash_detector import CrashDetector
 from papayabay_daemon._internal.target.dialect import DefaultTargetDialect, Verdict
@@ -46,6 +47,7 @@
 
     def __init__(self, settings, registry, dialect=None):
         self.dialect = dialect or DefaultTargetDialect()
+        self.answer_headers = AnswerHeaders(self.dialect.names)
         self.limits = settings.limits
         self.registry = registry
         self.pool = None
@@ -65,47 +67,33 @@
         announcement = self.registry.current
         if announcement is None or announcement.service != call.service:
             raise CallError(ErrorKind.TARGET_UNREACHABLE, "no target is announced")
+        started_at = now()
+        if call.expires_at <= started_at:
+            raise CallError(ErrorKind.EXPIRED_UNSENT)
         pool = self.pool_for(announcement)
-        pool.add_user()
+        pool.users += 1
         is_streamed = False
-        try:
-            answer = await self.run_before_deadline(call, call_token, pool)
-            is_streamed = not answer.body.is_complete
-            return answer
-        finally:
-            if not is_streamed:
-                pool.remove_user()
-
-    def pool_for(self, announcement):
-        """Return the connection pool of the announced target.
-
-        The pool of a former process is closed once its calls are done.
-        """
-        pool = self.pool
-        if pool is not None and pool.serves(announcement):
-            pool.announcement = announcement
-            return pool
-        self.pool = TargetPool(announcement, self.limits)
-        if pool is not None:
-            pool.retire()
-        return self.pool
-
-    async def run_before_deadline(self, call, call_token, pool):
-        """Run a call; raises `CallError` when its lifetime ends."""
-        remaining = call.remaining()
-        if remaining <= 0:
-            raise CallError(ErrorKind.EXPIRED_UNSENT)
         exchange = None
+        # One coroutine from here to the connection: each further one is
+        # resumed once more for each call.
         try:
-            with CallTimeout(remaining):
-                connection = await self.connect(pool)
-                exchange = Exchange(pool, connection, self.limits)
-                head = self.dialect.request_head(call, call_token, pool.announcement)
-                exchange.send(call, head)
-                return await self.receive(exchange, call, call_token, pool)
+            connection = pool.take_idle(started_at)
+            if connection is None:
+                connection = await self.open_connection(pool, call)
+                started_at = now()
+            elif self.registry.connect_failures:
+                self.registry.record_connected()
+            exchange = Exchange(pool, connection, self.limits, started_at)
+            head = self.dialect.request_head(call, call_token, pool.announcement)
+            exchange.send(call, head)
+            message = await connection.receive(call.expires_at - started_at)
+            if self.dialect.is_stray(call, message.head.first):
+                message = await self.receive_matching(exchange, call, message)
+            exchange.message = message
+            answer = self.read_answer(exchange, call, call_token, pool)
+            is_streamed = answer.body.rest is not None
+            return answer
         except TimeoutError:
-            if exchange is None:
-                raise CallError(ErrorKind.EXPIRED_UNSENT) from None
             self.cancel(exchange, call, call_token)
             pool.close_idle_since(exchange.started_at)
             raise CallError(ErrorKind.EXPIRED) from None
@@ -125,6 +113,31 @@
                 exchange.abort()
                 await self.handle_lost_call(exchange, call)
             raise CallError(ErrorKind.TARGET_LOST, repr(error)) from error
+        finally:
+            if not is_streamed:
+                pool.remove_user()
+
+    def pool_for(self, announcement):
+        """Return the connection pool of the announced target.
+
+        The pool of a former process is closed once its calls are done.
+        """
+        pool = self.pool
+        if pool is not None and pool.serves(announcement):
+            pool.announcement = announcement
+            return pool
+        self.pool = TargetPool(announcement, self.limits)
+        if pool is not None:
+            pool.retire()
+        return self.pool
+
+    async def open_connection(self, pool, call):
+        """Return a connection; raises `CallError` when the lifetime ends."""
+        try:
+            with CallTimeout(call.remaining()):
+                return await self.connect(pool)
+        except TimeoutError:
+            raise CallError(ErrorKind.EXPIRED_UNSENT) from None
 
     async def connect(self, pool):
         """Return a connection, and report the outcome to the registry."""
@@ -139,43 +152,55 @@
         self.registry.record_connected()
         return connection
 
-    async def receive(self, exchange, call, call_token, pool):
-        """Return the answer.
+    def read_answer(self, exchange, call, call_token, pool):
+        """Return the answer that an exchange has received.
 
         Raises
         ------
         CallError
             One of `REFUSALS`: the call was not run. TARGET_LOST.
         """
-        message = await self.receive_matching(exchange, call)
+        message = exchange.message
         status, fields = message.status, message.head.first
         pool.set_idle_timeout(self.dialect.idle_seconds(fields))
         verdict = self.dialect.classify(call, pool.announcement, status, fields)
-        if verdict not in FOREIGN:
+        if verdict is Verdict.ANSWER:
             self.record_report(pool.announcement, fields, exchange.started_at)
-        if verdict in REFUSALS:
-            exchange.discard()
-            if verdict is Verdict.REPLACED:
-                self.registry.mark_replaced(pool.announcement)
-            retry_after_ms = self.dialect.retry_after_ms(fields)
-            raise CallError(REFUSALS[verdict], retry_after_ms=retry_after_ms)
-        if verdict is Verdict.UNVERIFIED:
-            raise CallError(ErrorKind.TARGET_LOST, f"a {status} that can't be its own")
+        else:
+            self.refuse(verdict, exchange, pool)
         # Header fields are decoded before the body is read, so that a field
-        # that can't be forwarded fails the call at once.
-        headers = filter_headers(message.head.fields, self.dialect.names).forwarded
-        body = exchange.body(call.remaining)
-        if not body.is_complete:
+        # that can't be forwarded fails the call at once. The length of a
+        # whole body is stated anew where it is sent to the caller.
+        is_whole = exchange.has_whole_body()
+        bodiless = call.method == "HEAD" or status == NOT_MODIFIED
+        keeps_length = bodiless or not is_whole
+        headers = self.answer_headers.forwarded(message.head, keeps_length)
+        if not is_whole:
+            body = exchange.stream(call.remaining)
             self.watch_stream(body.rest, call, call_token, pool)
             return Answer(status, headers, body)
+        body = exchange.read_whole()
         # An answer without a length ends when the connection closes. The close
         # may be due to a crash, so such an answer is not recorded.
-        if message.head.is_framed or not exchange.connection.closed:
+        if not exchange.connection.closed or message.head.is_framed:
             self.crash_detector.record_answer(call)
-        if call.method != "HEAD" and status != NOT_MODIFIED:
-            headers = without_field(headers, "content-length")
         return Answer(status, headers, body)
 
+    def refuse(self, verdict, exchange, pool):
+        """Raise the `CallError` for an answer that is not forwarded."""
+        message = exchange.message
+        fields = message.head.first
+        if verdict not in FOREIGN:
+            self.record_report(pool.announcement, fields, exchange.started_at)
+        if verdict is Verdict.UNVERIFIED:
+            detail = f"a {message.status} that can't be its own"
+            raise CallError(ErrorKind.TARGET_LOST, detail)
+        exchange.discard()
+        if verdict is Verdict.REPLACED:
+            self.registry.mark_replaced(pool.announcement)
+        retry_after_ms = self.dialect.retry_after_ms(fields)
+        raise CallError(REFUSALS[verdict], retry_after_ms=retry_after_ms)
+
     def record_report(self, announcement, fields, sent_at):
         """Pass on what an answer states about the target."""
         report = self.dialect.report(fields)
@@ -184,18 +209,32 @@
         for listener in self.report_listeners:
             listener(announcement, report, sent_at)
 
-    async def receive_matching(self, exchange, call):
+    async def receive_matching(self, exchange, call, message):
         """Return the answer to this request, and skip those to others.
 
         A target may send a second answer to an earlier request after that
         request has ended, when the connection serves another one. Unless it
         is skipped, the wrong caller gets it.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        call : Call
+        message : Message
+            The first answer, which is one to another request.
+
+        Raises
+        ------
+        TimeoutError
+            When the call's lifetime ends.
         """
-        for _ in range(MAX_STRAY_ANSWERS):
-            message = await exchange.receive()
-            if not self.dialect.is_stray(call, message.head.first):
-                return message
-            await exchange.skip()
+        with CallTimeout(call.remaining()):
+            for _ in range(1, MAX_STRAY_ANSWERS):
+                exchange.message = message
+                await exchange.skip()
+                message = await exchange.connection.receive()
+                if not self.dialect.is_stray(call, message.head.first):
+                    return message
         raise CallError(ErrorKind.TARGET_LOST, "answers to other requests only")
 
     def watch_stream(self, stream, call, call_token, pool):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -4,10 +4,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from functools import lru_cache
 from typing import Protocol
 
 from papayabay_core.calls import SERVER_ERROR, Call
 from papayabay_core.settings import TargetSettings
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.target.announcement import Announcement
 
@@ -21,6 +23,12 @@
 MAX_DIGITS = 8
 """Retry-After values with this many digits or more are ignored."""
 MAX_RETRY_AFTER_S = 3_600
+MAX_CACHED_VALUES = 64
+MAX_CACHED_BYTES = 64
+"""Values of Keep-Alive fields up to this length are cached, the latest
+`MAX_CACHED_VALUES` of them: a target sends the same one with each answer."""
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+"""Methods whose requests state the length of an empty body too."""
 
 
 RawFields = Mapping[bytes, bytes]
@@ -177,7 +185,8 @@
 
 def remaining_ms(call):
     """Return the milliseconds until the call's deadline; at least 1."""
-    return max(int(call.remaining() * 1000), 1)
+    left_ms = int((call.expires_at - now()) * 1000)
+    return left_ms if left_ms > 1 else 1
 
 
 def encode_head(call, first_fields, last_fields):
@@ -189,21 +198,25 @@
     first_fields, last_fields : str
         Header lines before and after those of the call itself.
     """
-    lines = [f"{call.method} {call.path} HTTP/1.1\r\n", first_fields]
-    lines += [f"{name}: {value}\r\n" for name, value in call.headers]
-    lines += [last_fields, request_framing(call), "\r\n"]
-    return "".join(lines).encode(*rules.HEADER_CODEC)
+    body = call.body
+    if body.rest is not None:
+        framing = streamed_framing(call)
+    elif body.first or call.method in BODY_METHODS:
+        framing = f"Content-Length: {len(body.first)}\r\n"
+    else:
+        framing = ""
+    lines = [f"{name}: {value}\r\n" for name, value in call.headers]
+    head = (
+        f"{call.method} {call.path} HTTP/1.1\r\n{first_fields}"
+        f"{''.join(lines)}{last_fields}{framing}\r\n"
+    )
+    return head.encode(*rules.HEADER_CODEC)
 
 
-def request_framing(call):
-    """Return the header line that frames the body; empty if none is needed."""
-    if not call.body.is_complete:
-        has_length = rules.declared_length(call.headers) is not None
-        return "" if has_length else "Transfer-Encoding: chunked\r\n"
-    size = len(call.body.first)
-    if size or call.method in ("POST", "PUT", "PATCH"):
-        return f"Content-Length: {size}\r\n"
-    return ""
+def streamed_framing(call):
+    """Return the header line that frames a streamed body, if one is needed."""
+    has_length = rules.declared_length(call.headers) is not None
+    return "" if has_length else "Transfer-Encoding: chunked\r\n"
 
 
 def retry_after_ms(fields):
@@ -219,7 +232,18 @@
 
 def keep_alive_seconds(fields):
     """Return the timeout of a Keep-Alive field in seconds, or None."""
-    match = KEEP_ALIVE_PATTERN.search(fields.get(b"keep-alive", b""))
+    value = fields.get(b"keep-alive")
+    if value is None:
+        return None
+    if len(value) > MAX_CACHED_BYTES:
+        return parse_keep_alive.__wrapped__(value)
+    return parse_keep_alive(value)
+
+
+@lru_cache(maxsize=MAX_CACHED_VALUES)
+def parse_keep_alive(value):
+    """Return the timeout in the value of a Keep-Alive field, or None."""
+    match = KEEP_ALIVE_PATTERN.search(value)
     return float(match[1]) if match else None
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
@@ -5,7 +5,6 @@
 from papayabay_core.calls import Body
 from papayabay_core.http.connection import BodyWriter
 from papayabay_core.http.payload import PayloadBroken
-from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.doors.streaming import write_body
 from papayabay_daemon._internal.lifetime.timeouts import CallTimeout
@@ -22,13 +21,13 @@
         The connection is returned to it.
     connection : ClientConnection
     limits : LimitSettings
+    started_at : float
+        When the exchange began, on `clock.now()`.
 
     Attributes
     ----------
-    started_at : float
-        When the exchange was created, on `clock.now()`.
     message : Message or None
-        The answer received last.
+        The answer received last; set by the reader.
     upload : asyncio.Task or None
         Writes a streamed request body.
     ended : bool
@@ -45,8 +44,8 @@
         "upload",
     )
 
-    def __init__(self, pool, connection, limits):
-        self.started_at = now()
+    def __init__(self, pool, connection, limits, started_at):
+        self.started_at = started_at
         self.pool = pool
         self.connection = connection
         self.limits = limits
@@ -65,10 +64,11 @@
         """
         self.connection.start_request(bodiless=call.method == "HEAD")
         body = call.body
-        whole = body.is_complete and body.first
-        self.connection.transport.write(head + body.first if whole else head)
-        if not body.is_complete:
-            self.upload = asyncio.create_task(self.send_body(call))
+        if body.rest is None:
+            self.connection.transport.write(head + body.first)
+            return
+        self.connection.transport.write(head)
+        self.upload = asyncio.create_task(self.send_body(call))
 
     async def send_body(self, call):
         """Write a streamed body; an error fails the exchange."""
@@ -86,11 +86,6 @@
             self.connection.fail(broken)
             self.connection.abort()
 
-    async def receive(self):
-        """Return the next final answer on the connection as `Message`."""
-        self.message = await self.connection.receive()
-        return self.message
-
     async def skip(self):
         """Read and drop the body of an answer to another request.
 
@@ -104,20 +99,28 @@
             if payload.received_bytes > self.limits.inline_body_bytes:
                 raise PayloadBroken("a stray answer is too long to skip")
 
-    def body(self, remaining):
-        """Return the answer's body; a large one is streamed.
+    def has_whole_body(self):
+        """Return whether the answer's body is complete and not large."""
+        payload = self.message.payload
+        return payload.complete and (
+            payload.buffered_bytes <= self.limits.inline_body_bytes
+        )
+
+    def read_whole(self):
+        """Return the answer's complete body, and end the exchange."""
+        body = Body(self.message.payload.read_all_nowait())
+        self.finish()
+        return body
+
+    def stream(self, remaining):
+        """Return the answer's body as a stream.
 
         Parameters
         ----------
         remaining : callable
             Returns the seconds until the call's deadline.
         """
-        payload = self.message.payload
-        if payload.complete and payload.buffered_bytes <= self.limits.inline_body_bytes:
-            body = Body(payload.read_all_nowait())
-            self.finish()
-            return body
-        first = payload.read_all_nowait()
+        first = self.message.payload.read_all_nowait()
         return Body(first, AnswerStream(self, remaining))
 
     def discard(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -60,6 +60,8 @@
     def serves(self, announcement):
         """Whether the pool can serve calls under an announcement."""
         own = self.announcement
+        if own is announcement:
+            return True
         same = own.same_process(announcement)
         return same and own.connections == announcement.connections
 
@@ -87,26 +89,31 @@
             If no connection could be opened; nothing was sent.
         """
         while True:
-            connection = self.take_idle()
+            connection = self.take_idle(now())
             if connection is not None:
                 return connection
             if len(self.open) + self.connecting < self.announcement.connections:
                 return await self.open_connection()
             await self.wait()
 
-    def take_idle(self):
+    def take_idle(self, at):
         """Return the idle connection used last, or None.
 
         If a request crosses the target's close of an idle connection, nothing
         shows whether the target read it, and a call that must run at most once
         could be neither retried nor answered. So connections that the target
         is about to close are closed here.
+
+        Parameters
+        ----------
+        at : float
+            The present time on `clock.now()`.
         """
         while self.idle:
             connection = self.idle.pop()
             if connection.closed or connection.transport.is_closing():
                 continue
-            if now() - connection.idle_since <= self.idle_seconds:
+            if at - connection.idle_since <= self.idle_seconds:
                 return connection
             connection.abort()
         return None
@@ -188,7 +195,8 @@
             return
         connection.idle_since = self.answered_at = now()
         self.idle.append(connection)
-        self.wake_next_waiter()
+        if self.waiters:
+            self.wake_next_waiter()
 
     def remove(self, connection):
         """Remove a connection that was closed."""
@@ -206,14 +214,11 @@
             usable = max(0.0, idle_seconds - IDLE_MARGIN_SECONDS)
             self.idle_seconds = min(KEEP_ALIVE_SECONDS, usable)
 
-    def add_user(self):
-        """Count a call as a user of the pool."""
-        self.users += 1
-
     def remove_user(self):
         """Remove a user; closes a retired pool after the last one."""
         self.users -= 1
-        self.close_if_unused()
+        if self.retired:
+            self.close_if_unused()
 
     def retire(self):
         """Close the pool once the calls in flight are done."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -343,8 +343,11 @@
         sent_at : float
             When the answered call was sent.
         """
-        current = self.registry.current
-        if current is None or current.process != announcement.process:
+        current = self.registry.announcement
+        # Nearly always the same object, which saves the comparison.
+        if current is not announcement and (
+            current is None or current.process != announcement.process
+        ):
             return
         self.admission.record_report(report, sent_at)
         if report.leaving:
--- /dev/null
+++ b/tests/unit/core/test_http_client.py
@@ -0,0 +1,62 @@
+"""Tests of client connections without a server."""
+
+import asyncio
+import gc
+import unittest
+from unittest import mock
+
+from papayabay_core.http.client import ClientConnection
+from papayabay_core.settings import LimitSettings
+
+FIELD = b"x: 1\r\n"
+
+
+class ClientConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.connection = ClientConnection(LimitSettings(), lambda connection: None)
+        self.connection.connection_made(mock.Mock())
+        self.connection.start_request(bodiless=False)
+
+    async def test_number_of_fields_is_limited(self):
+        """Guards against a target that fills the memory with fields."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+        for data in (
+            [b"HTTP/1.1 200 OK\r\n" + FIELD * 300 + b"\r\n"],
+            [b"HTTP/1.1 200 OK\r\n", *[FIELD * 10] * 30],
+            [chunked, *[FIELD * 10] * 30],
+        ):
+            with self.subTest(data=data[0]):
+                await self.asyncSetUp()
+                for part in data:
+                    self.connection.data_received(part)
+                self.assertTrue(self.connection.unusable)
+                self.assertTrue(self.connection.transport.abort.called)
+                with self.assertRaises(ConnectionError):
+                    await self.connection.receive()
+
+    async def test_wait_ends_after_its_time_and_no_later_wait_does(self):
+        """Guards against the timer of one request that ends another's wait."""
+        with self.assertRaises(TimeoutError):
+            await self.connection.receive(0.001)
+        first = self.connection.receive(0.01)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        self.connection.data_received(answer)
+        self.assertEqual((await first).status, 200)
+        second = self.connection.receive()
+        await asyncio.sleep(0.02)
+        self.assertFalse(second.done())
+        self.connection.data_received(answer)
+        self.assertEqual((await second).status, 200)
+
+    async def test_failure_of_a_cancelled_reader_is_not_logged(self):
+        """Guards against an error line for each caller that leaves."""
+        errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+        waiter = self.connection.receive(1.0)
+        self.connection.connection_lost(None)
+        self.assertTrue(waiter.done())
+        del waiter
+        gc.collect()
+        self.assertEqual(errors, [])
