Report the end of a run in one step, and count runs once

Cause: the receiver reported the end of a run to the call tree, to the chain model and to a list of listeners. The chain model and the work model each counted the runs and calls of every path. A call passed three coroutines of the receiver and a context manager made of a generator, for a quarantine that is empty nearly always. Change: `RunCounts` holds the counts of both models. The receiver is one coroutine from admission to the answer. `QuarantineGate.start_run` and `end_run` replace the context manager. The detector of repeated calls is made with the first outgoing call.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -13,22 +13,15 @@
     ----------
     components : CallComponents
     tree : CallTree
-    chains : ChainModel
+    run_counts : RunCounts
     budget : ArrivalBudget
-
-    Attributes
-    ----------
-    run_listeners : list of callable
-        Called with the live call and its answer after each run that the
-        target has answered.
     """
 
-    def __init__(self, components, tree, chains, budget):
+    def __init__(self, components, tree, run_counts, budget):
         self.components = components
         self.budget = budget
         self.tree = tree
-        self.chains = chains
-        self.run_listeners = []
+        self.run_counts = run_counts
 
     async def receive(self, call, peer):
         """Run a call on the target and return its answer.
@@ -44,20 +37,40 @@
         Answer
             Errors are returned as answers too, to be sent back over the link.
         """
-        self.components.counters.received += 1
-        if not self.components.policy().decisions.shared_rank:
-            call.rank = per_hop_rank(self.components.random)
+        components = self.components
+        components.counters.received += 1
+        if not components.policy().decisions.shared_rank:
+            call.rank = per_hop_rank(components.random)
+        is_suspect = False
+        # One coroutine from admission to the answer: each further one is
+        # resumed once more for each call.
         try:
-            with self.components.quarantine.guard(call):
-                self.check_service(call)
-                account = self.budget.check(call)
-                ticket = await self.admit(call, account)
-                self.budget.record_arrival(call, account)
-                answer = await self.hand_over(call, ticket)
-                self.budget.record_end(call, account, answer)
-                return answer
+            is_suspect = components.quarantine.start_run(call)
+            target = components.registry.current
+            # A peer may not know yet that a target was withdrawn or that this
+            # VM now serves another service.
+            if target is None or target.service != call.service:
+                raise CallError(ErrorKind.TARGET_UNREACHABLE, "not announced here")
+            account = self.budget.check(call)
+            ticket = await self.admit(call, account)
+            self.budget.record_arrival(call, account)
+            token, live = self.tree.begin(call)
+            answer = None
+            try:
+                answer = await components.target.run(call, token)
+            except CallError as error:
+                answer = error_answer(error)
+            finally:
+                if answer is None:
+                    self.finish(token, live, ticket, None)
+            self.complete(token, live, ticket, answer)
+            self.budget.record_end(call, account, answer)
+            return answer
         except CallError as error:
             return self.refuse(call, error)
+        finally:
+            if is_suspect:
+                components.quarantine.end_run()
 
     def refuse(self, call, error):
         """Log the refusal of a call and return the answer for it."""
@@ -85,39 +98,19 @@
             raise
         return ticket
 
-    def check_service(self, call):
-        """Refuse a call that the target beside this daemon doesn't serve.
-
-        A peer may not know yet that a target was withdrawn or that this VM
-        now serves another service. Its calls must not reach the target of
-        another service.
-        """
-        target = self.components.registry.current
-        if target is None or target.service != call.service:
-            raise CallError(ErrorKind.TARGET_UNREACHABLE, "not announced here")
-
-    async def hand_over(self, call, ticket):
-        """Run an admitted call on the target; always release the slot."""
-        token, live = self.tree.begin(call)
-        answer = None
-        try:
-            answer = await self.components.target.run(call, token)
-        except CallError as error:
-            answer = error_answer(error)
-        finally:
-            streamed = answer is not None and not answer.body.is_complete
-            if not streamed:
-                self.finish(token, live, ticket, answer)
-        if streamed:
-            answer.body.rest = self.finish_after(
-                answer.body.rest, token, live, ticket, answer
-            )
+    def complete(self, token, live, ticket, answer):
+        """Release the slot once the target's answer has ended."""
+        body = answer.body
+        if body.rest is None:
+            self.finish(token, live, ticket, answer)
+        else:
+            body.rest = self.finish_after(body.rest, token, live, ticket, answer)
         # A target that failed because one of its own calls failed would fail
         # elsewhere too, so no daemon on the caller's side needs to retry.
-        answer.exhausted |= live.downstream_failed and answer.failed
+        if live.downstream_failed and answer.failed:
+            answer.exhausted = True
         answer.credits_left = live.account.close()
-        answer.load = self.components.admission.load(call.path_key)
-        return answer
+        answer.load = self.components.admission.load(live.call.path_key)
 
     async def finish_after(self, rest, token, live, ticket, answer):
         """Yield a streamed body, and end the call when the body ends.
@@ -137,14 +130,13 @@
     def finish(self, token, live, ticket, answer):
         """Release the slot and remove the call from the call tree."""
         cut_off = answer is None or answer.kind is not None
-        self.tree.end(token, cancelled=cut_off)
+        self.tree.end(token, cut_off)
         ticket.finish(answer)
-        if not cut_off:
-            self.chains.note(live.call.path_key, live.called_paths)
-            for listener in self.run_listeners:
-                listener(live, answer)
-            if live.steps is not None and not answer.failed:
-                self.tree.slack.end_run(live, now())
+        if cut_off:
+            return
+        self.run_counts.run_ended(live, answer)
+        if live.steps is not None and not answer.failed:
+            self.tree.slack.end_run(live, now())
 
 
 def refusal_inputs(call, error, load):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/snapshot.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/snapshot.py
@@ -42,7 +42,7 @@
     links : Links
     policy_source : callable
         Returns the `Policy` in force.
-    work : WorkModel
+    run_counts : RunCounts
     router : RoutingTable
     random : random.Random
 
@@ -52,11 +52,11 @@
         Snapshots sent and taken over, and requests without an answer.
     """
 
-    def __init__(self, members, links, policy_source, work, router, random):
+    def __init__(self, members, links, policy_source, run_counts, router, random):
         self.members = members
         self.links = links
         self.policy_source = policy_source
-        self.work = work
+        self.run_counts = run_counts
         self.router = router
         self.random = random
         self.counters = dict.fromkeys(
@@ -67,9 +67,12 @@
     async def handle_request(self, payload, peer):
         """Return this daemon's encoded figures."""
         self.counters["snapshots_sent"] += 1
-        by_runs = sorted(self.work.paths.items(), key=lambda item: -item[1].runs)
+        paths = self.run_counts.paths.items()
+        by_runs = sorted(paths, key=lambda item: -item[1].complete_runs)
         counts = [
-            PathCounts(path_key, path.runs, path.calls) for path_key, path in by_runs
+            PathCounts(path_key, path.complete_runs, path.calls)
+            for path_key, path in by_runs
+            if path.calls
         ]
         return encode(Snapshot(counts, read_figures(self.router)))
 
@@ -130,7 +133,7 @@
     def adopt(self, snapshot, peer):
         """Take over the figures that this daemon does not have yet."""
         for path in snapshot.counts:
-            self.work.adopt(path.path_key, *scaled_counts(path))
+            self.run_counts.adopt(path.path_key, *scaled_counts(path))
         paths = sum(adopt_figures(self.router, one) for one in snapshot.services)
         self.counters["snapshots_adopted"] += 1
         log.notice(
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -26,8 +26,8 @@
     call : Call
     account : CreditAccount
         Retry credits of the call and its subtree.
-    retry_detector : RetryDetector
-        Charges the account for outgoing calls that the target repeats.
+    detector : RetryDetector or None
+        See `retry_detector`; None before the first outgoing call.
     child_tasks : set of asyncio.Task
         Tasks of its outgoing calls in flight.
     called_paths : dict of str to int
@@ -42,13 +42,20 @@
 
     call: Call
     account: CreditAccount
-    retry_detector: RetryDetector
+    detector: RetryDetector | None = None
     child_tasks: set[asyncio.Task] = field(default_factory=set)
     called_paths: dict[str, int] = field(default_factory=dict)
     downstream_failed: bool = False
     is_cut_off: bool = False
     steps: RunSteps | None = None
 
+    @property
+    def retry_detector(self):
+        """Charges the account for outgoing calls that the target repeats."""
+        if self.detector is None:
+            self.detector = RetryDetector(self.account)
+        return self.detector
+
     def count_call(self, path_key):
         """Count an outgoing call to a path."""
         self.called_paths[path_key] = self.called_paths.get(path_key, 0) + 1
@@ -80,9 +87,7 @@
     def begin(self, call):
         """Register a call; return its new token and the live call."""
         token = f"{self.secret}-{next(self.numbers):x}"
-        account = CreditAccount(call.credits)
-        live = LiveCall(call, account, RetryDetector(account))
-        self.live[token] = live
+        live = self.live[token] = LiveCall(call, CreditAccount(call.credits))
         self.tokens[call.request_id] = token
         return token, live
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/work.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/work.py
@@ -6,19 +6,10 @@
 whole request takes.
 """
 
-from dataclasses import dataclass, field
-from itertools import islice
-
 from papayabay_core.calls import MAX_WORK_SERVICES
 from papayabay_core.importance import ADMIT_ALL
 from papayabay_daemon._internal.calls.chains import service_of
 
-DECAY_RUNS = 256
-"""Runs of a path after which its counts are halved."""
-MAX_PATHS = 256
-"""Most paths that are tracked; further ones are ignored."""
-MAX_CHILDREN = 32
-"""Most child paths of one path; further ones are ignored."""
 SCARCE_HOLD_S = 1.0
 """How long a service stays scarce after its threshold has opened. It opens
 between two waves of refusals, and the order would change each time."""
@@ -30,19 +21,6 @@
 """Shared by all load states without work; never changed."""
 
 
-@dataclass(slots=True)
-class ChildCalls:
-    """Number of complete runs of a path, and of its calls to child paths."""
-
-    runs: int = 0
-    calls: dict[str, int] = field(default_factory=dict)
-
-    def means(self):
-        """Yield each child path with its mean number of calls in a run."""
-        for child, count in self.calls.items():
-            yield child, count / self.runs
-
-
 class WorkModel:
     """Estimates the slot time that a run takes of each scarce service.
 
@@ -52,74 +30,23 @@
         Gives the work of the called paths.
     policy_source : callable
         Returns the `Policy` in force.
+    counts : RunCounts
+        Mean numbers of calls of a run.
 
     Attributes
     ----------
-    paths : dict of str to ChildCalls
     scarce_until : float
         Time until which the service beside this daemon counts as scarce.
     """
 
-    def __init__(self, router, policy_source):
+    def __init__(self, router, policy_source, counts):
         self.router = router
         self.policy_source = policy_source
-        self.paths = {}
+        self.counts = counts
         self.scarce_until = float("-inf")
         self.cached = {}
         self.cached_until = float("-inf")
 
-    def run_ended(self, live, answer):
-        """Count the run of a call, if it was complete.
-
-        A run that failed, or one of whose calls failed, may have ended before
-        its last call. If it counted, the mean number of calls would fall with
-        every refusal in an overload.
-
-        Parameters
-        ----------
-        live : LiveCall
-        answer : Answer
-        """
-        if not (answer.failed or live.downstream_failed):
-            self.record_run(live.call.path_key, live.called_paths)
-
-    def record_run(self, path_key, called):
-        """Count a complete run of a path.
-
-        Parameters
-        ----------
-        path_key : str
-        called : dict of str to int
-            Number of calls by child path.
-        """
-        path = self.paths.get(path_key)
-        if path is None:
-            if not called or len(self.paths) >= MAX_PATHS:
-                return
-            path = self.paths[path_key] = ChildCalls()
-        path.runs += 1
-        for child, count in called.items():
-            known = path.calls.get(child)
-            if known is not None:
-                path.calls[child] = known + count
-            elif len(path.calls) < MAX_CHILDREN:
-                path.calls[child] = count
-        if path.runs >= DECAY_RUNS:
-            self.decay(path)
-
-    def decay(self, path):
-        """Halve a path's counts and evict the children that fall to zero."""
-        path.runs //= 2
-        path.calls = {
-            child: count // 2 for child, count in path.calls.items() if count > 1
-        }
-
-    def adopt(self, path_key, runs, calls):
-        """Take over a peer's counts of a path that has not run here yet."""
-        if path_key not in self.paths and len(self.paths) < MAX_PATHS:
-            kept = dict(islice(calls.items(), MAX_CHILDREN))
-            self.paths[path_key] = ChildCalls(runs, kept)
-
     def work_ms(self, path_key, service_ms, level, now):
         """Return the slot milliseconds of a run, by scarce service.
 
@@ -155,9 +82,9 @@
         work = {}
         if now < self.scarce_until:
             work[service_of(path_key)] = service_ms
-        path = self.paths.get(path_key)
-        if path is not None and path.runs:
-            for child, mean in path.means():
+        path = self.counts.paths.get(path_key)
+        if path is not None and path.calls:
+            for child, mean in path.mean_calls():
                 below = self.router.path_services(service_of(child), child)
                 for service, amount in below.items():
                     work[service] = work.get(service, 0.0) + mean * amount
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/gate.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/gate.py
@@ -1,7 +1,6 @@
 """Refuses quarantined requests, and runs suspects one at a time."""
 
 import hashlib
-from contextlib import contextmanager
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
@@ -49,7 +48,8 @@
         CallError
             QUARANTINED, with the remaining TTL.
         """
-        if self.registry.is_empty or not self.is_on():
+        registry = self.registry
+        if not (registry.crashes_of or registry.entries) or not self.is_on():
             return None
         fingerprint = self.fingerprints.of(call)
         ttl_s = self.registry.remaining_ttl(fingerprint)
@@ -62,32 +62,40 @@
         detail = f"{crashes} targets have ended under it; held back as {name}"
         raise CallError(ErrorKind.QUARANTINED, detail, round(ttl_s * 1_000))
 
-    @contextmanager
-    def guard(self, call):
+    def start_run(self, call):
         """Admit a call to the target, and let suspects run one at a time.
 
         If two suspects were in flight, a crash would not show which of them
         caused it.
 
+        Returns
+        -------
+        bool
+            Whether it is a suspect; then `end_run` must follow. Not a context
+            manager, which would take ten function calls for each call.
+
         Raises
         ------
         CallError
             QUARANTINED, or ISOLATED while another suspect runs.
         """
+        registry = self.registry
+        if not (registry.crashes_of or registry.entries):
+            return False
         fingerprint = self.check(call)
-        if fingerprint is None or not self.registry.is_suspect(fingerprint):
-            yield
-            return
+        if fingerprint is None or not registry.is_suspect(fingerprint):
+            return False
         if self.running_suspect is not None:
             self.counters["isolated"] += 1
-            crashes = len(self.registry.suspected_crashes(fingerprint))
+            crashes = len(registry.suspected_crashes(fingerprint))
             self.log_refusal(call, fingerprint, "another suspect runs", crashes)
             raise CallError(ErrorKind.ISOLATED, retry_after_ms=ISOLATED_RETRY_MS)
         self.running_suspect = fingerprint
-        try:
-            yield
-        finally:
-            self.running_suspect = None
+        return True
+
+    def end_run(self):
+        """Let another suspect run."""
+        self.running_suspect = None
 
     def log_refusal(self, call, fingerprint, outcome, crashes):
         """Log why a call was refused."""
@@ -102,8 +110,9 @@
 
     def record_answer(self, call):
         """Exonerate the request of a call that got a complete answer."""
-        if not self.registry.is_empty:
-            self.registry.exonerate(self.fingerprints.of(call))
+        registry = self.registry
+        if registry.crashes_of or registry.entries:
+            registry.exonerate(self.fingerprints.of(call))
 
     def target_crashed(self, crash):
         """Record a crash of the target, with the calls in flight."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -19,6 +19,7 @@
 from papayabay_daemon._internal.calls.flow import CallFlow
 from papayabay_daemon._internal.calls.pause import PauseDetector
 from papayabay_daemon._internal.calls.receive import Receiver
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.snapshot import SnapshotExchange
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.calls.work import WorkModel
@@ -202,15 +203,16 @@
             demand_reports=self.demand_reports,
         )
         self.call_tree = CallTree()
-        chains = ChainModel(self.router)
+        run_counts = RunCounts()
+        chains = ChainModel(self.router, run_counts)
         self.admission.set_downstream_source(chains.closed_paths)
-        self.work = WorkModel(self.router, self.policy)
+        self.work = WorkModel(self.router, self.policy, run_counts)
         self.admission.set_work_source(self.work.work_ms)
         self.work_snapshots = SnapshotExchange(
             self.membership,
             self.links,
             self.policy,
-            self.work,
+            run_counts,
             self.router,
             self.random,
         )
@@ -220,9 +222,8 @@
             repeat_level=self.admission.repeat_level,
         )
         receiver = Receiver(
-            self.call_components, self.call_tree, chains, self.arrival_budget
+            self.call_components, self.call_tree, run_counts, self.arrival_budget
         )
-        receiver.run_listeners.append(self.work.run_ended)
         dispatcher = Dispatcher(self.call_components, receiver, self.retry_rules)
         self.idempotency_gate = IdempotencyGate(
             self.settings,
--- a/tests/unit/daemon/budget_fleet.py
+++ b/tests/unit/daemon/budget_fleet.py
@@ -1,7 +1,6 @@
 """Simulates a service's daemons and their retry budget in virtual time."""
 
 from bisect import bisect_left
-from contextlib import nullcontext
 from itertools import count
 from types import SimpleNamespace
 
@@ -9,6 +8,7 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
 from papayabay_daemon._internal.calls.receive import Receiver
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.retries import ArrivalBudget, Attempts
 from tests.unit.daemon.budget_support import (
@@ -49,12 +49,11 @@
             target=self,
             log=SimpleNamespace(record=lambda *args, **inputs: None),
         )
-        chains = SimpleNamespace(note=lambda path_key, called: None)
-        self.receiver = Receiver(components, CallTree(), chains, self.budget)
+        self.receiver = Receiver(components, CallTree(), RunCounts(), self.budget)
 
-    def guard(self, call):
+    def start_run(self, call):
         """Treat no request as suspect."""
-        return nullcontext()
+        return False
 
     def check(self, call):
         """Treat no request as quarantined."""
--- a/tests/unit/daemon/quarantine_fleet.py
+++ b/tests/unit/daemon/quarantine_fleet.py
@@ -8,6 +8,7 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.importance import Importance
 from papayabay_daemon._internal.calls.receive import Receiver
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.quarantine import (
@@ -75,9 +76,8 @@
             target=self,
             log=DecisionLog(),
         )
-        chains = SimpleNamespace(note=lambda path_key, called: None)
         budget = ArrivalBudget(budget_policy, lambda service: 1, clock)
-        self.receiver = Receiver(components, CallTree(), chains, budget)
+        self.receiver = Receiver(components, CallTree(), RunCounts(), budget)
         self.running = {}
         self.crashed = asyncio.Event()
         self.process_number = next(self.numbers)
--- a/tests/unit/daemon/test_calls_chains.py
+++ b/tests/unit/daemon/test_calls_chains.py
@@ -4,8 +4,9 @@
 from unittest import mock
 
 from papayabay_core.importance import ADMIT_ALL
-from papayabay_daemon._internal.calls import chains
+from papayabay_daemon._internal.calls import chains, run_counts
 from papayabay_daemon._internal.calls.chains import ChainModel
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 
 PATH = "shop/order"
 STOCK = "stock/take"
@@ -27,11 +28,12 @@
 class ChainTests(unittest.TestCase):
     def setUp(self):
         self.router = FakeRouter({STOCK: 500, PRICES: 70})
-        self.model = ChainModel(self.router)
+        self.counts = RunCounts()
+        self.model = ChainModel(self.router, self.counts)
 
     def run_path(self, times, *called, path_key=PATH):
         for _ in range(times):
-            self.model.note(path_key, called)
+            self.counts.record(path_key, dict.fromkeys(called, 1), True)
 
     def level(self):
         return self.model.level_below(PATH)
@@ -61,20 +63,20 @@
         self.assertEqual(self.level(), 500)
 
     def test_children_no_longer_called_are_evicted(self):
-        self.run_path(chains.DECAY_RUNS - 1, PRICES)
+        self.run_path(run_counts.DECAY_RUNS - 1, PRICES)
         self.assertEqual(self.level(), 70)
-        self.run_path(chains.DECAY_RUNS * 8, STOCK)
+        self.run_path(run_counts.DECAY_RUNS * 8, STOCK)
         self.assertEqual(self.level(), 500)
-        self.assertNotIn(PRICES, self.model.paths[PATH].children)
+        self.assertNotIn(PRICES, self.counts.paths[PATH].callers)
 
     def test_memory_is_bounded(self):
-        for number in range(chains.DECAY_RUNS):
-            self.model.note(PATH, [f"service/{number}"])
-        self.assertEqual(self.model.paths[PATH].children, {})
-        self.assertEqual(self.model.paths[PATH].runs, chains.DECAY_RUNS // 2)
-        with mock.patch.object(chains, "MAX_PATHS", 2):
+        for number in range(run_counts.DECAY_RUNS):
+            self.counts.record(PATH, {f"service/{number}": 1}, True)
+        self.assertEqual(self.counts.paths[PATH].callers, {})
+        self.assertEqual(self.counts.paths[PATH].runs, run_counts.DECAY_RUNS // 2)
+        with mock.patch.object(run_counts, "MAX_PATHS", 2):
             for path_key in ("shop/second", "shop/third"):
                 self.run_path(1, STOCK, path_key=path_key)
             self.run_path(1, STOCK)
-        self.assertEqual(set(self.model.paths), {PATH, "shop/second"})
-        self.assertEqual(self.model.paths[PATH].children, {STOCK: 1})
+        self.assertEqual(set(self.counts.paths), {PATH, "shop/second"})
+        self.assertEqual(self.counts.paths[PATH].callers, {STOCK: 1})
--- a/tests/unit/daemon/test_path_work.py
+++ b/tests/unit/daemon/test_path_work.py
@@ -10,7 +10,8 @@
 from papayabay_core.importance import ADMIT_ALL
 from papayabay_core.policy import Policy
 from papayabay_core.policy.document import validate_policy
-from papayabay_daemon._internal.calls import work
+from papayabay_daemon._internal.calls import run_counts, work
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.work import WorkModel
 from papayabay_daemon._internal.routing import path_work
 from tests.unit.daemon.admission_support import (
@@ -37,7 +38,8 @@
             path_services=lambda name, key: self.below.get(key, {})
         )
         self.policy = policy_of(equals="work")
-        self.model = WorkModel(router, lambda: self.policy)
+        self.counts = RunCounts()
+        self.model = WorkModel(router, lambda: self.policy, self.counts)
         self.now = 100.0
 
     def work_ms(self, level=ADMIT_ALL, path_key=DESK):
@@ -50,7 +52,7 @@
             called_paths=called,
             downstream_failed=downstream_failed,
         )
-        self.model.run_ended(live, Answer(status))
+        self.counts.run_ended(live, Answer(status))
 
     def test_calls_of_a_run_add_up(self):
         """Guards against figures of one call for a run that makes eight.
@@ -94,11 +96,20 @@
         reported = self.work_ms()
         self.assertEqual(len(reported), 8)
         self.assertEqual(reported["s11"], work.MAX_WORK_MS)
-        for number in range(2 * work.MAX_PATHS):
-            self.model.record_run(f"desk/{number}", {f"vault/{number}": 1})
-            self.model.record_run(DESK, {f"vault/{number}": 100})
-        self.assertEqual(len(self.model.paths), work.MAX_PATHS)
-        self.assertLessEqual(len(self.model.paths[DESK].calls), work.MAX_CHILDREN)
+        for number in range(2 * run_counts.MAX_PATHS):
+            self.counts.record(f"desk/{number}", {f"vault/{number}": 1}, True)
+            self.counts.record(DESK, {f"vault/{number}": 100}, True)
+        paths = self.counts.paths
+        self.assertEqual(len(paths), run_counts.MAX_PATHS)
+        self.assertLessEqual(len(paths[DESK].calls), run_counts.MAX_CHILDREN)
+
+    def test_runs_that_all_fail_keep_the_mean(self):
+        """Guards against a path that looks light after a long failure."""
+        self.below = {VAULT: {"room": 54.0}}
+        self.run_ended({VAULT: 8})
+        for _ in range(20 * run_counts.DECAY_RUNS):
+            self.run_ended({VAULT: 1}, status=503)
+        self.assertEqual(self.work_ms(), {"room": 432.0})
 
 
 class PathWorkTest(RoutingCase):
--- a/tests/unit/daemon/test_quarantine_registry.py
+++ b/tests/unit/daemon/test_quarantine_registry.py
@@ -254,18 +254,18 @@
         both = self.fingerprint, self.gate.fingerprints.of(other)
         self.crash(*both)
         self.crash(*both)
-        with self.gate.guard(self.crashing):
-            with self.assertRaises(CallError) as caught, self.gate.guard(other):
-                pass
-            with self.gate.guard(call(path="/third")):
-                pass
+        self.assertTrue(self.gate.start_run(self.crashing))
+        with self.assertRaises(CallError) as caught:
+            self.gate.start_run(other)
+        self.assertFalse(self.gate.start_run(call(path="/third")))
         self.assertIs(caught.exception.kind, ErrorKind.ISOLATED)
-        with self.gate.guard(other):
-            pass
+        self.gate.end_run()
+        self.assertTrue(self.gate.start_run(other))
 
     def test_nothing_is_hashed_while_the_registry_is_empty(self):
         self.gate.fingerprints = None
         self.gate.check(self.crashing)
+        self.assertFalse(self.gate.start_run(self.crashing))
         self.gate.record_answer(self.crashing)
 
 
--- a/tests/unit/daemon/test_work_order.py
+++ b/tests/unit/daemon/test_work_order.py
@@ -15,6 +15,7 @@
 from papayabay_core.policy import Policy
 from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.calls.flow import CallFlow
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.work import WorkModel
 from papayabay_daemon._internal.lifetime import work_order
 from papayabay_daemon._internal.lifetime.ranks import rank_of, scaled_rank
@@ -131,7 +132,8 @@
         listed = [self.target]
         members = SimpleNamespace(local=member("here"), upstreams=lambda name: listed)
         self.router = RoutingTable(members, lambda: policy, self.random, clock)
-        self.control.set_work_source(WorkModel(self.router, lambda: policy).work_ms)
+        work = WorkModel(self.router, lambda: policy, RunCounts())
+        self.control.set_work_source(work.work_ms)
         self.order = WorkOrder(clock)
         self.arrived, self.served = Counter(), Counter()
 
--- a/tests/unit/daemon/test_work_snapshot.py
+++ b/tests/unit/daemon/test_work_snapshot.py
@@ -13,8 +13,8 @@
 from papayabay_core.policy import Policy
 from papayabay_core.policy.document import validate_policy
 from papayabay_daemon._internal.calls import snapshot, snapshot_messages
+from papayabay_daemon._internal.calls.run_counts import MAX_CHILDREN, RunCounts
 from papayabay_daemon._internal.calls.snapshot import SnapshotExchange
-from papayabay_daemon._internal.calls.work import MAX_CHILDREN, WorkModel
 from papayabay_daemon._internal.interfaces import MemberState
 from papayabay_daemon._internal.routing import RoutingTable
 from tests.lib.cluster_fakes import LinkNetwork
@@ -34,10 +34,10 @@
         )
         rng = random.Random(3)
         self.table = RoutingTable(members, lambda: fleet.policy, rng, lambda: fleet.at)
-        self.model = WorkModel(self.table, lambda: fleet.policy)
+        self.counts = RunCounts()
         self.exchange = SnapshotExchange(
             members, fleet.network.links(local.name), lambda: fleet.policy,
-            self.model, self.table, rng,
+            self.counts, self.table, rng,
         )  # fmt: skip
 
     def receive(self, load=LOAD, path_key="stock/look"):
@@ -72,11 +72,11 @@
         for other in self.others:
             other.receive()
             for _ in range(100):
-                other.model.record_run("stock/look", {"room/turn": 8})
+                other.counts.record("stock/look", {"room/turn": 8}, True)
         self.at += 0.3
         self.assertEqual(self.new.start()["snapshots_adopted"], 1)
         self.assertEqual(self.new.path_work(), 400.0)
-        self.assertEqual(self.new.model.paths["stock/look"].calls, {"room/turn": 128})
+        self.assertEqual(self.new.counts.paths["stock/look"].calls, {"room/turn": 128})
         self.new.table.choose(call(Importance.CRITICAL), ())
         level = self.new.table.path_level("stock", "stock/look")
         self.assertEqual(level, CRITICAL_ONLY)
@@ -119,8 +119,8 @@
     def test_adopted_call_trees_are_bounded(self):
         """Guards against more child paths than are kept of own runs."""
         calls = {f"room/{number}": 1 for number in range(MAX_CHILDREN + 1)}
-        self.new.model.adopt("stock/look", 1, calls)
-        adopted = self.new.model.paths["stock/look"].calls
+        self.new.counts.adopt("stock/look", 1, calls)
+        adopted = self.new.counts.paths["stock/look"].calls
         self.assertEqual(len(adopted), MAX_CHILDREN)
 
     def test_levels_that_cannot_be_are_not_read(self):
@@ -136,7 +136,8 @@
         other = self.others[0]
         for number in range(256):
             other.receive(path_key=f"stock/{number:0100}")
-            other.model.record_run(f"stock/{number:0100}", {f"room/{number:0100}": 1})
+            called = {f"room/{number:0100}": 1}
+            other.counts.record(f"stock/{number:0100}", called, True)
         payload = run_virtual(lambda clock: other.exchange.handle_request(b"", "n0"))
         self.assertLessEqual(len(payload), snapshot_messages.MAX_BYTES)
         self.assertTrue(snapshot_messages.decode(payload).counts)
