Pass an answer and its report through fewer functions

Cause: an answer of the target passed four functions of its connection, and its report six objects, most of which had nothing to do. Change: the connection wakes its reader without a further call. The report goes to the host speed if it states a slowdown, and to the rate limit if there is or may be one. An unchanged announcement is recognised before the pool is asked.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -245,11 +245,14 @@
     def deliver(self, message):
         """Pass an answer to the reader."""
         self.delivered = True
-        waiter = self.end_wait()
+        waiter = self.waiter
         if waiter is None or waiter.done():
             self.received.append(message)
-        else:
-            waiter.set_result(message)
+            return
+        self.waiter = None
+        if self.timer is not None:
+            self.timer.cancel()
+        waiter.set_result(message)
 
     def abort_with(self, detail):
         """Close the connection because of invalid input."""
@@ -272,17 +275,11 @@
 
     def fail_wait(self, error):
         """Raise an error in the reader that waits for an answer."""
-        waiter = self.end_wait()
+        waiter, self.waiter = self.waiter, None
+        if self.timer is not None:
+            self.timer.cancel()
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
             # If the reader is cancelled in this iteration of the event loop,
             # it never sees the error, which asyncio would log.
             waiter.exception()
-
-    def end_wait(self):
-        """Return the future of a waiting reader, which waits no longer."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        waiter, self.waiter = self.waiter, None
-        return waiter
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/capacity.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/capacity.py
@@ -62,21 +62,6 @@
             return by_slots
         return max(by_slots, self.rate_limit.call_interval())
 
-    def record_report(self, report, sent_at, now):
-        """Apply what an answer of the target states.
-
-        Parameters
-        ----------
-        report : TargetReport
-        sent_at : float
-            When the answered call was sent.
-        now : float
-        """
-        if report.slowdown is not None:
-            self.host_speed.record(report.slowdown, now)
-        if report.rate_is_known:
-            self.rate_limit.record_report(report.rate_per_s, sent_at, now)
-
     def record_end(self, call, answer, elapsed, in_flight, queued, now, work_time):
         """Record an ended call.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -128,7 +128,12 @@
             When the answered call was sent.
         """
         now = self.clock()
-        self.capacity.record_report(report, sent_at, now)
+        if report.slowdown is not None:
+            self.host_speed.record(report.slowdown, now)
+        if report.rate_is_known:
+            limit, rate = self.rate_limit, report.rate_per_s
+            if rate is not None or not limit.is_unlimited:
+                limit.record_report(rate, sent_at, now)
         if self.scheme.queue.size:
             self.dispatch(now)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/rate_limit.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/rate_limit.py
@@ -84,8 +84,6 @@
             When the answered call was sent.
         now : float
         """
-        if rate is None and self.is_unlimited:
-            return
         self.is_reported = True
         previous = self.rate
         rate = None if rate is None else max(rate, MIN_RATE_PER_S)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
@@ -70,9 +70,8 @@
         remaining = call.expires_at - now
         if remaining <= 0:
             return self.expiry_error(call)
-        if self.capacity.times.cannot_finish(
-            call.path_key, remaining - call.rest_s, now
-        ):
+        times = self.capacity.times
+        if times.cannot_finish(call.path_key, remaining - call.rest_s, now):
             return self.error(call, ErrorKind.LIFETIME_TOO_SHORT)
         return None
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -70,7 +70,9 @@
         started_at = now()
         if call.expires_at <= started_at:
             raise CallError(ErrorKind.EXPIRED_UNSENT)
-        pool = self.pool_for(announcement)
+        pool = self.pool
+        if pool is None or pool.announcement is not announcement:
+            pool = self.pool_for(announcement)
         pool.users += 1
         is_streamed = False
         exchange = None
@@ -171,7 +173,10 @@
         # Header fields are decoded before the body is read, so that a field
         # that can't be forwarded fails the call at once. The length of a
         # whole body is stated anew where it is sent to the caller.
-        is_whole = exchange.has_whole_body()
+        payload = message.payload
+        is_whole = payload.complete and (
+            payload.buffered_bytes <= self.limits.inline_body_bytes
+        )
         bodiless = call.method == "HEAD" or status == NOT_MODIFIED
         keeps_length = bodiless or not is_whole
         headers = self.answer_headers.forwarded(message.head, keeps_length)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/exchange.py
@@ -99,13 +99,6 @@
             if payload.received_bytes > self.limits.inline_body_bytes:
                 raise PayloadBroken("a stray answer is too long to skip")
 
-    def has_whole_body(self):
-        """Return whether the answer's body is complete and not large."""
-        payload = self.message.payload
-        return payload.complete and (
-            payload.buffered_bytes <= self.limits.inline_body_bytes
-        )
-
     def read_whole(self):
         """Return the answer's complete body, and end the exchange."""
         body = Body(self.message.payload.read_all_nowait())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -60,8 +60,6 @@
     def serves(self, announcement):
         """Whether the pool can serve calls under an announcement."""
         own = self.announcement
-        if own is announcement:
-            return True
         same = own.same_process(announcement)
         return same and own.connections == announcement.connections
 
