--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -19,6 +19,7 @@
 from papayabay_daemon._internal.calls.flow import CallFlow
 from papayabay_daemon._internal.calls.pause import PauseDetector
 from papayabay_daemon._internal.calls.receive import Receiver
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.snapshot import SnapshotExchange
 from papayabay_daemon._internal.calls.tree import CallTree
 from papayabay_daemon._internal.calls.work import WorkModel
@@ -203,15 +204,16 @@
             demand_reports=self.demand_reports,
         )
         self.call_tree = CallTree()
-        chains = ChainModel(self.router)
+        run_counts = RunCounts()
+        chains = ChainModel(self.router, run_counts)
         self.admission.set_downstream_source(chains.closed_paths)
-        self.work = WorkModel(self.router, self.policy)
+        self.work = WorkModel(self.router, self.policy, run_counts)
         self.admission.set_work_source(self.work.work_ms)
         self.work_snapshots = SnapshotExchange(
             self.membership,
             self.links,
             self.policy,
-            self.work,
+            run_counts,
             self.router,
             self.random,
         )
@@ -221,9 +223,8 @@
             repeat_level=self.admission.repeat_level,
         )
         receiver = Receiver(
-            self.call_components, self.call_tree, chains, self.arrival_budget
+            self.call_components, self.call_tree, run_counts, self.arrival_budget
         )
-        receiver.run_listeners.append(self.work.run_ended)
         dispatcher = Dispatcher(self.call_components, receiver, self.retry_rules)
         self.idempotency_gate = IdempotencyGate(
             self.settings,
@@ -346,8 +347,11 @@
         sent_at : float
             When the answered call was sent.
         """
-        current = self.registry.current
-        if current is None or current.process != announcement.process:
+        current = self.registry.announcement
+        # Nearly always the same object, which saves the comparison.
+        if current is not announcement and (
+            current is None or current.process != announcement.process
+        ):
             return
         self.admission.record_report(report, sent_at)
         if report.leaving:
