Record and decide attempts with fewer function calls

Cause: for each attempt the router looked up its strategy, compared averages by functions of one line and called `max` and `min` with constants; the retry rules made a frozen data class for "answered"; the window of the retry budget added no slices to both of its queues three times a call; latencies were recorded through three layers. Change: the strategy, what first attempts earn and the retry settings of the target's service are kept until the policy changes. A single upstream of a service is picked without a list.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/deadlines.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/deadlines.py
@@ -14,4 +14,7 @@
     """
     if requested_ms is None:
         return rule.deadline_ms / 1_000.0
-    return max(0, min(rule.deadline_ms, requested_ms)) / 1_000.0
+    if requested_ms <= 0:
+        return 0.0
+    deadline_ms = rule.deadline_ms
+    return (requested_ms if requested_ms < deadline_ms else deadline_ms) / 1_000.0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/timeouts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/timeouts.py
@@ -34,7 +34,8 @@
         # 3.11, so the loop is taken from the task.
         task = self.task = current_task()
         self.cancelling = task.cancelling()
-        self.timer = task.get_loop().call_later(max(self.seconds, 0.0), self.expire)
+        seconds = self.seconds if self.seconds > 0.0 else 0.0
+        self.timer = task.get_loop().call_later(seconds, self.expire)
         return self
 
     def expire(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -9,7 +9,10 @@
 from papayabay_core.importance import Importance
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.admission.repeat_level import RepeatLevel
-from papayabay_daemon._internal.retries.decision import NEVER_REACHED_TARGET
+from papayabay_daemon._internal.retries.decision import (
+    NEVER_REACHED_TARGET,
+    TARGET_REJECTED,
+)
 from papayabay_daemon._internal.retries.exhaustion_log import ExhaustionLog
 from papayabay_daemon._internal.retries.sharers import SharerCount
 from papayabay_daemon._internal.retries.window import BudgetWindow
@@ -41,6 +44,11 @@
     Attributes
     ----------
     counters : dict of str to int
+    window : BudgetWindow or None
+        Counts the calls of `service`; None before the first.
+    policy, checked_service, retries
+        The policy and the service of the latest check, and the `Retries` that
+        the policy sets for the service.
     """
 
     def __init__(self, policy_source, sharers, clock=now, repeat_level=None):
@@ -49,6 +57,9 @@
         self.clock = clock
         self.service = ""
         self.window = None
+        self.policy = None
+        self.checked_service = None
+        self.retries = None
         self.counters = dict.fromkeys(COUNTER_NAMES, 0)
         self.arrived_by_class = dict.fromkeys(Importance, 0)
         self.exhaustion_log = ExhaustionLog(log)
@@ -69,10 +80,12 @@
         CallError
             RETRIES_SPENT for a retry if the budget is exhausted.
         """
-        retries = self.policy_source().retries(call.service)
+        policy = self.policy_source()
+        if policy is not self.policy or call.service != self.checked_service:
+            self.read_policy(policy, call.service)
+        retries, window = self.retries, self.window
         if retries.window_ms is None:
             return None
-        window = self.window_for(call.service, retries.window_ms / 1_000)
         # Updated for first attempts too: a daemon that leaves before the next
         # retry may already have spent its share.
         self.sharers.update(call.service, window.window_s)
@@ -119,9 +132,10 @@
         """
         if window is None:
             return
-        missed = answer.kind in NEVER_REACHED_TARGET
+        kind = answer.kind
+        missed = kind is not None and kind in NEVER_REACHED_TARGET
         if self.repeat_level.enabled and not missed:
-            rejected = answer.kind is ErrorKind.TARGET_REJECTED
+            rejected = kind is TARGET_REJECTED
             self.repeat_level.record_end(rejected, self.clock())
         if call.repeated or not missed:
             return
@@ -167,6 +181,14 @@
             return {}
         return asdict(self.window.tightest(retries, self.sharers.max_count()))
 
+    def read_policy(self, policy, service):
+        """Apply a changed policy, or start to check another service."""
+        self.policy = policy
+        self.checked_service = service
+        self.retries = retries = policy.retries(service)
+        if retries.window_ms is not None:
+            self.window_for(service, retries.window_ms / 1_000)
+
     def window_for(self, service, window_s):
         """Return the window that counts the current service's calls.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/credits.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/credits.py
@@ -17,7 +17,7 @@
     __slots__ = ("balance", "closed", "spent")
 
     def __init__(self, balance):
-        self.balance = max(0, balance)
+        self.balance = balance if balance > 0 else 0
         self.spent = 0
         self.closed = False
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -3,9 +3,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from papayabay_core.calls import Answer
+from papayabay_core.calls import SERVER_ERROR, Answer
 from papayabay_core.errors import ERROR_ANSWERS, Effect, ErrorKind
 
+NOT_RUN = Effect.NOT_RUN
+TARGET_REJECTED = ErrorKind.TARGET_REJECTED
+OVERLOADED = ErrorKind.OVERLOADED
+"""Read for each attempt; a member of an `Enum` is looked up in Python."""
 FIRST_BACKOFF_SECONDS = 0.010
 """Longest backoff before the second attempt."""
 MAX_DOUBLINGS = 6
@@ -65,10 +69,12 @@
         """Record the answer of an attempt at an upstream."""
         self.made += 1
         self.tried.add(name)
-        self.reached_target |= answer.kind not in NEVER_REACHED_TARGET
-        if answer.kind is ErrorKind.TARGET_REJECTED:
-            self.rejected.add(name)
-        if answer.effect is not Effect.NOT_RUN:
+        kind = answer.kind
+        if kind is None or kind not in NEVER_REACHED_TARGET:
+            self.reached_target = True
+            if kind is TARGET_REJECTED:
+                self.rejected.add(name)
+        if answer.effect is not NOT_RUN:
             self.possibly_run += 1
             self.last_possibly_run = answer
 
@@ -109,6 +115,25 @@
         return self.reason == RETRY
 
 
+STOPS = {
+    reason: RetryDecision(reason)
+    for reason in (
+        "answered",
+        "attempts",
+        "body-streamed",
+        "effect-unknown",
+        "exhausted-below",
+        "expired",
+        "final",
+        "no-credit",
+        "no-other",
+        "per-hop",
+        "ratio",
+    )
+}
+"""The decisions not to retry, by reason; nearly all attempts end with one."""
+
+
 class RetryRules:
     """Retry rules; `decisions.retries` of the policy selects their scheme.
 
@@ -159,26 +184,40 @@
         RetryDecision
         """
         decisions = self.policy_source().decisions
+        kind = answer.kind
         if call.attempts and attempts.possibly_run >= call.attempts:
             reason = "attempts"
         elif decisions.retries == "per-hop":
             if may_retry_per_hop(call, answer, attempts.made, decisions):
                 return RetryDecision(RETRY, self.backoff_s(call, attempts.made))
-            return RetryDecision("per-hop")
+            return STOPS["per-hop"]
+        elif kind is None and answer.status < SERVER_ERROR:
+            reason = "answered"
         else:
             reason = self.reason_against(call, answer, account, attempts)
         if not reason:
-            rejected = answer.kind is ErrorKind.TARGET_REJECTED
+            rejected = kind is TARGET_REJECTED
             max_doublings = MAX_REJECTED_DOUBLINGS if rejected else MAX_DOUBLINGS
             return RetryDecision(
                 RETRY, self.backoff_s(call, attempts.made, max_doublings)
             )
         self.stops[reason] += 1
-        answer.exhausted = is_exhausted(answer, attempts.made)
-        return RetryDecision(reason)
+        # A call refused for overload is retried only by the lowest daemon that
+        # has another upstream. If daemons above retried it too, each level
+        # would multiply the load of the overloaded service: the deeper the
+        # chain, the more retries.
+        if kind is not None and (attempts.made > 1 or kind is OVERLOADED):
+            answer.exhausted = True
+        return STOPS[reason]
 
     def reason_against(self, call, answer, account, attempts):
-        """Return why not to retry, or "" after spending a credit."""
+        """Return why not to retry, or "" after spending a credit.
+
+        Parameters
+        ----------
+        answer : Answer
+            Of an error kind, or with the status of a server error.
+        """
         if answer.kind is None and not failed_at_target(answer):
             return "answered"
         if answer.kind is not None and not ERROR_ANSWERS[answer.kind].retry_elsewhere:
@@ -249,16 +288,3 @@
 def is_unsafe(call, answer):
     """Return whether a retry might double the call's effect."""
     return answer.effect is not Effect.NOT_RUN and not call.idempotent
-
-
-def is_exhausted(answer, attempts):
-    """Return whether no daemon above may retry the call.
-
-    A call refused for overload is retried only by the lowest daemon that has
-    another upstream. If daemons above retried it too, each level would
-    multiply the load of the overloaded service: the deeper the chain, the more
-    retries.
-    """
-    if answer.kind is None:
-        return answer.exhausted
-    return answer.exhausted or attempts > 1 or answer.kind is ErrorKind.OVERLOADED
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
@@ -34,24 +34,42 @@
         Returns the `Policy` in force.
     clock : callable
         Seconds.
+
+    Attributes
+    ----------
+    earned : dict of str to (float or None)
+        Part of a token that a first attempt earns, by service, under `policy`;
+        None if that limits retries by a window.
     """
 
     def __init__(self, policy_source, clock=now):
         self.policy_source = policy_source
         self.clock = clock
         self.buckets = {}
+        self.policy = None
+        self.earned = {}
         self.allowed = 0
         self.refused = 0
 
     def record_first_attempt(self, service):
         """Earn part of a token for the first attempt of a call."""
-        retries = self.policy_source().retries(service)
-        if retries.window_ms is not None:
+        policy = self.policy_source()
+        if policy is not self.policy or service not in self.earned:
+            self.read_policy(policy, service)
+        earned = self.earned[service]
+        if earned is None:
             return
         bucket = self.bucket(service)
-        earned = retries.ratio
         bucket.tokens = min(max(BURST_TOKENS, bucket.tokens), bucket.tokens + earned)
 
+    def read_policy(self, policy, service):
+        """Read what a service's first attempts earn under a policy."""
+        if policy is not self.policy or len(self.earned) >= MAX_SERVICES:
+            self.policy = policy
+            self.earned = {}
+        retries = policy.retries(service)
+        self.earned[service] = None if retries.window_ms is not None else retries.ratio
+
     def allow(self, service):
         """Spend a token for a retry; return False if there is none."""
         if self.policy_source().retries(service).window_ms is not None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -90,18 +90,16 @@
         self.clock = clock
         self.window_s = window_s
         self.started_at = clock()
-        self.current_slice = self.slice_number()
+        self.current_slice = int(self.started_at * SLICES / window_s)
         self.first_counts = deque([0] * (2 * SLICES), 2 * SLICES)
         self.retry_counts = deque([0] * (SLICES + 1), SLICES + 1)
         self.pending = 0
 
-    def slice_number(self):
-        """Return the number of the slice that the present time falls in."""
-        return int(self.clock() * SLICES / self.window_s)
-
     def advance(self):
         """Start new slices up to the present time."""
-        number = self.slice_number()
+        number = int(self.clock() * SLICES / self.window_s)
+        if number == self.current_slice:
+            return
         empty = [0] * min(number - self.current_slice, 2 * SLICES)
         self.current_slice = number
         self.first_counts.extend(empty)
@@ -109,7 +107,8 @@
 
     def record_first_attempt(self):
         """Count a first attempt that is forwarded to the target."""
-        self.advance()
+        if int(self.clock() * SLICES / self.window_s) != self.current_slice:
+            self.advance()
         self.first_counts[-1] += 1
 
     def undo_first_attempt(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/completion.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/completion.py
@@ -7,6 +7,8 @@
 
 from math import exp
 
+from papayabay_core.calls import SERVER_ERROR
+
 SLOWDOWN_DECAY_S = 0.3
 """Time in which a reported slowdown loses two thirds of its difference from
 the upstream's mean. A state of a host lasts about 0.6 s."""
@@ -108,14 +110,16 @@
         load, host = answer.load, upstream.host
         host.in_flight = upstream.in_flight
         host.reported_at = at
-        host.slowdown = load.slowdown
-        host.mean_slowdown += MEAN_SLOWDOWN_WEIGHT * (
-            load.slowdown - host.mean_slowdown
-        )
-        if answer.kind is not None or answer.failed:
+        host.slowdown = slowdown = load.slowdown
+        host.mean_slowdown += MEAN_SLOWDOWN_WEIGHT * (slowdown - host.mean_slowdown)
+        if answer.kind is not None or answer.status >= SERVER_ERROR:
             return
-        service_s = max(MIN_TIME_S, load.service_ms / 1_000)
-        latency_s = max(MIN_TIME_S, elapsed / load.slowdown)
+        service_s = load.service_ms / 1_000
+        if service_s < MIN_TIME_S:
+            service_s = MIN_TIME_S
+        latency_s = elapsed / slowdown
+        if latency_s < MIN_TIME_S:
+            latency_s = MIN_TIME_S
         means = self.paths.get(path_key)
         if means is None:
             if len(self.paths) >= MAX_PATHS:
@@ -140,10 +144,16 @@
         own = upstream.in_flight
         if load is None:
             return self.latency_s * (1.0 + own / max(1, upstream.member.slots))
-        limit = max(1, load.limit)
+        # No `max` with a constant: it takes as long as the arithmetic here,
+        # and each choice compares two upstreams or four.
+        limit = load.limit if load.limit > 1 else 1
         weight = exp((upstream.load_updated_at - at) / LOAD_DECAY_S)
-        ahead = load.queued + max(0, load.in_flight - limit)
-        ahead = ahead * weight + max(0, own - host.in_flight)
+        ahead = load.queued
+        if load.in_flight > limit:
+            ahead += load.in_flight - limit
+        ahead *= weight
+        if own > host.in_flight:
+            ahead += own - host.in_flight
         usage = 1.0 + ((load.in_flight + load.queued) * weight + own) / limit
         completion = (ahead / limit + 1.0) * self.service_s * host.service
         measured = self.latency_s * host.latency
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
@@ -3,6 +3,7 @@
 from papayabay_core.calls import MAX_PATH_LEVELS
 from papayabay_core.importance import ADMIT_ALL, RANKS, Importance
 
+CRITICAL = Importance.CRITICAL
 HINT_TTL_SECONDS = 0.5
 """Time for which a reported level is used unchanged."""
 RELAX_SECONDS = 0.5
@@ -54,25 +55,23 @@
 
     def update(self, load, at):
         """Take over the levels that an answer reports."""
-        if self.weight < 1.0 and self.is_fresh(at):
-            self.average(load)
+        if self.weight < 1.0 and at - self.updated_at <= HINT_TTL_SECONDS:
+            level = self.own_level
+            self.own_level = int(level + self.weight * (load.admit_level - level))
+            if self.path_levels or load.path_levels:
+                self.average_paths(load.path_levels)
         else:
             self.own_level = load.admit_level
             self.path_levels = load.path_levels
         self.updated_at = at
 
-    def average(self, load):
-        """Update the moving averages with the levels of an answer."""
-        self.own_level = self.averaged(self.own_level, load.admit_level)
-        if not self.path_levels and not load.path_levels:
-            return
-        levels = {
-            path: self.averaged(
-                self.path_levels.get(path, ADMIT_ALL),
-                load.path_levels.get(path, ADMIT_ALL),
-            )
-            for path in self.path_levels.keys() | load.path_levels.keys()
-        }
+    def average_paths(self, reported):
+        """Update the moving averages of the paths with reported levels."""
+        weight = self.weight
+        levels = {}
+        for path in self.path_levels.keys() | reported.keys():
+            level = self.path_levels.get(path, ADMIT_ALL)
+            levels[path] = int(level + weight * (reported.get(path, ADMIT_ALL) - level))
         lowest_first = sorted(levels.items(), key=lambda entry: entry[1])
         self.path_levels = {
             path: level
@@ -80,21 +79,15 @@
             if level < NEARLY_ADMIT_ALL
         }
 
-    def averaged(self, level, reported):
-        """Return the moving average of a level after a reported one."""
-        return int(level + self.weight * (reported - level))
-
-    def is_fresh(self, at):
-        """Return whether the latest answer is within the TTL."""
-        return at - self.updated_at <= HINT_TTL_SECONDS
-
     def level(self, path_key, at):
         """Return the level that a path is expected to admit now."""
-        stale_for = at - self.updated_at - HINT_TTL_SECONDS
-        if stale_for > 0.0 and self.service_hints is not None:
+        is_stale = at - self.updated_at > HINT_TTL_SECONDS
+        if is_stale and self.service_hints is not None:
             return self.service_hints.level(path_key, at)
-        level = min(self.own_level, self.path_levels.get(path_key, ADMIT_ALL))
-        return self.relaxed(level, at)
+        level = self.own_level
+        if self.path_levels:
+            level = min(level, self.path_levels.get(path_key, ADMIT_ALL))
+        return self.relaxed(level, at) if is_stale else level
 
     def refuses_new(self, call, level, at):
         """Return whether the upstream is expected to refuse a new request.
@@ -103,10 +96,12 @@
         a level is known: an overload by critical requests alone ends only if
         their entries refuse a part of them.
         """
+        # A relaxed level is never below the reported one, so most calls need
+        # the comparison with the reported one only.
         service = self.service_hints or self
-        if level > service.path_level(call.path_key, at):
+        if service.path_levels and level > service.path_level(call.path_key, at):
             return True
-        return level > self.relaxed(self.own_level, at)
+        return level > self.own_level and level > self.relaxed(self.own_level, at)
 
     def path_level(self, path_key, at):
         """Return the level that the services below admit on a path.
@@ -130,6 +125,6 @@
         """Return whether the upstream is expected to refuse a call."""
         if level <= self.level(call.path_key, at):
             return False
-        if call.importance != Importance.CRITICAL:
+        if call.importance != CRITICAL:
             return True
         return at - self.updated_at <= CRITICAL_HINT_TTL_SECONDS
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
@@ -2,7 +2,7 @@
 
 from itertools import chain
 
-from papayabay_core.calls import Answer
+from papayabay_core.calls import SERVER_ERROR, Answer
 from papayabay_core.errors import ErrorKind
 from papayabay_daemon._internal.routing.completion import CompletionModel
 from papayabay_daemon._internal.routing.ejection import FAILURE_POINTS, may_eject
@@ -74,9 +74,7 @@
         self.turn = 0
 
     def refresh(self, local, upstreams, service, policy):
-        """Apply a changed membership or policy; cheap if neither changed."""
-        if upstreams is self.source and policy is self.policy:
-            return
+        """Apply a changed membership or policy."""
         self.source = upstreams
         self.policy = policy
         self.routing = routing = policy.routing(service)
@@ -122,43 +120,43 @@
         """Return whether any attempt is in flight."""
         return any(state.in_flight for state in self.states.values())
 
-    def started(self, name):
-        """Count an attempt that was sent."""
-        state = self.states.get(name)
-        if state is not None:
-            state.in_flight += 1
-
     def ended(self, member, path_key, answer: Answer | None, elapsed, at, eject):
         """Count an attempt's end, and update the state from its answer."""
         state = self.states.get(member.name)
         if state is None:
             return
-        state.in_flight = max(0, state.in_flight - 1)
+        if state.in_flight:
+            state.in_flight -= 1
         # The answer of a previous incarnation says nothing about this one.
         if answer is None or member.incarnation != state.incarnation:
             return
-        if answer.load is not None:
-            state.update_load(answer.load, at)
-            self.hints.update(answer.load, at)
-            self.work.update(path_key, answer.load.work_ms, at)
+        load = answer.load
+        if load is not None:
+            state.load = load
+            state.load_updated_at = at
+            state.hints.update(load, at)
+            self.hints.update(load, at)
+            if load.work_ms or self.work.averages:
+                self.work.update(path_key, load.work_ms, at)
             if self.completion is not None:
                 self.completion.record(state, path_key, answer, elapsed, at)
-        if answer.kind is None:
-            self.record_answer(state, answer, elapsed, at)
-        elif answer.kind is ErrorKind.LEAVING:
+        kind = answer.kind
+        if kind is None:
+            self.record_answer(state, answer.status >= SERVER_ERROR, elapsed, at)
+        elif kind is ErrorKind.LEAVING:
             state.mark_leaving(at)
-        elif eject and answer.kind in FAILURE_POINTS:
-            self.record_failure(state, FAILURE_POINTS[answer.kind], at)
+        elif eject and kind in FAILURE_POINTS:
+            self.record_failure(state, FAILURE_POINTS[kind], at)
 
-    def record_answer(self, state, answer, elapsed, at):
+    def record_answer(self, state, failed, elapsed, at):
         """Update ejection and latency from a target's own answer."""
         ejection = state.ejection
-        ejection.succeed(at)
-        # Answers to earlier calls still arrive during an ejection.
-        if ejection.awaiting_answer and not ejection.active(at):
-            ejection.awaiting_answer = False
-            self.ejections.returned.add(state.member.name)
-        failed = answer.failed
+        if ejection.points or ejection.duration:
+            ejection.succeed(at)
+            # Answers to earlier calls still arrive during an ejection.
+            if ejection.awaiting_answer and not ejection.active(at):
+                ejection.awaiting_answer = False
+                self.ejections.returned.add(state.member.name)
         state.record_answer(elapsed, failed, at)
         if not failed:
             weight = MEAN_LATENCY_WEIGHT if self.mean_latency else 1.0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
@@ -45,23 +45,26 @@
         Otherwise `pick` has to choose among all that are. A pair that is drawn
         here is distributed like one drawn by `pick`, so this only saves time.
         """
-        preferred = self.pick_own_domain(pool, call, excluded, at)
-        if preferred is not None:
-            return preferred
-        if len(pool.subset) < 2:
-            return None
-        one, other = self.draw(pool.subset)
         level = call.level
-        for upstream in (one, other):
+        if pool.own_domain:
+            preferred = self.pick_own_domain(pool, call, level, excluded, at)
+            if preferred is not None:
+                return preferred
+        drawn = pool.subset
+        if len(drawn) > 1:
+            drawn = self.draw(drawn)
+        for upstream in drawn:
             if not (
                 upstream.is_available(at)
                 and upstream.member.name not in excluded
                 and self.accepts(upstream, call, level, at)
             ):
                 return None
-        return self.better(pool, one, other, at)
+        if len(drawn) < 2:
+            return drawn[0] if drawn else None
+        return self.better(pool, drawn[0], drawn[1], at)
 
-    def pick_own_domain(self, pool, call, excluded, at):
+    def pick_own_domain(self, pool, call, level, excluded, at):
         """Return the least used upstream of the own failure domain, or None.
 
         Traffic between failure domains costs money and a millisecond or two of
@@ -70,10 +73,9 @@
         the rest of the subset.
         """
         if pool.completion is not None:
-            return self.pick_own_pair(pool, call, excluded, at)
+            return self.pick_own_pair(pool, call, level, excluded, at)
         best = None
         least_usage = pool.routing.own_domain_usage
-        level = call.level
         for one in pool.own_domain:
             # The cheapest check comes first and rules out most upstreams.
             usage = one.usage(at)
@@ -86,25 +88,23 @@
                 best, least_usage = one, usage
         return best
 
-    def pick_own_pair(self, pool, call, excluded, at):
+    def pick_own_pair(self, pool, call, level, excluded, at):
         """Return the better of two random ones of the own domain, or None."""
-        if not pool.own_domain:
-            return None
         max_usage = pool.routing.own_domain_usage
+        mean_latency = pool.mean_latency
         drawn = pool.own_domain
         if len(drawn) > 1:
             drawn = self.draw(drawn)
-        candidates = [
-            one
-            for one in drawn
-            if one.member.name not in excluded
-            and one.is_healthy(pool.mean_latency, at)
-            and one.usage(at) < max_usage
-            and self.accepts(one, call, call.level, at)
-        ]
-        if not candidates:
-            return None
-        return self.better(pool, candidates[0], candidates[-1], at)
+        best = None
+        for one in drawn:
+            if (
+                one.member.name not in excluded
+                and one.usage(at) < max_usage
+                and one.is_healthy(mean_latency, at)
+                and self.accepts(one, call, level, at)
+            ):
+                best = one if best is None else self.better(pool, best, one, at)
+        return best
 
     def pick(self, pool, upstreams, at):
         """Return the better of two random upstreams."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -40,6 +40,8 @@
         self.random = random
         self.clock = clock
         self.pools = {}
+        self.policy = None
+        self.strategy = None
         self.counters = Counter()
         self.round_robin = RoundRobin()
         self.with_hints = TwoChoices(random, True)
@@ -47,7 +49,7 @@
         self.whole_requests = WholeRequests(random, True)
         self.ejections = EjectionLog()
 
-    def strategy(self, decisions):
+    def find_strategy(self, decisions):
         """Return the strategy that policy selects."""
         if decisions.routing == "round-robin":
             return self.round_robin
@@ -57,6 +59,11 @@
             return self.whole_requests
         return self.with_hints
 
+    def apply_policy(self, policy):
+        """Select the strategy of a changed policy."""
+        self.policy = policy
+        self.strategy = self.find_strategy(policy.decisions)
+
     def choose(self, call, excluded):
         """Return the member to send an attempt to.
 
@@ -73,7 +80,9 @@
             `retry_after_ms` if all that are available refuse the call's level.
         """
         policy = self.policy_source()
-        strategy = self.strategy(policy.decisions)
+        if policy is not self.policy:
+            self.apply_policy(policy)
+        strategy = self.strategy
         pool = self.pool(call.service, policy)
         at = self.clock()
         picked = strategy.pick_fast(pool, call, excluded, at)
@@ -116,7 +125,9 @@
     def has_other(self, call, excluded):
         """Return whether `choose` would find an upstream for the call."""
         policy = self.policy_source()
-        strategy = self.strategy(policy.decisions)
+        if policy is not self.policy:
+            self.apply_policy(policy)
+        strategy = self.strategy
         pool = self.pool(call.service, policy)
         at = self.clock()
         level = call.level
@@ -143,7 +154,9 @@
         if pool is None:
             pool = self.add_pool(service)
         upstreams = self.members.upstreams(service)
-        pool.refresh(self.members.local, upstreams, service, policy)
+        # Both are the same objects until they change.
+        if upstreams is not pool.source or policy is not pool.policy:
+            pool.refresh(self.members.local, upstreams, service, policy)
         return pool
 
     def add_pool(self, service):
@@ -164,8 +177,9 @@
     def started(self, member, call):
         """Record that an attempt was sent."""
         pool = self.pools.get(call.service)
-        if pool is not None:
-            pool.started(member.name)
+        state = pool.states.get(member.name) if pool is not None else None
+        if state is not None:
+            state.in_flight += 1
 
     def ended(self, member, call, answer, elapsed):
         """Record an attempt's end, once for each `started`.
@@ -207,7 +221,9 @@
     def path_work(self, service, path_key):
         """Return the slot milliseconds that a run takes of scarce services."""
         pool = self.pools.get(service)
-        return pool.work.total(path_key, self.clock()) if pool is not None else 0.0
+        if pool is None or not pool.work.averages:
+            return 0.0
+        return pool.work.total(path_key, self.clock())
 
     def path_services(self, service, path_key):
         """Return the slot milliseconds of a run by scarce service."""
@@ -221,14 +237,15 @@
         if state is None:
             return {"name": member.name}
         at = self.clock()
+        heard_ms = None
+        if state.load is not None:
+            heard_ms = int((at - state.load_updated_at) * 1_000 + 0.5)
         return {
             "name": member.name,
             "incarnation": member.incarnation,
             "in_flight": state.in_flight,
             "admits": state.hints.level(call.path_key, at),
-            "heard_ms": round((at - state.load_updated_at) * 1_000)
-            if state.load
-            else None,
+            "heard_ms": heard_ms,
             "points": state.ejection.points,
         }
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
@@ -7,6 +7,8 @@
 from papayabay_daemon._internal.routing.ejection import Ejection
 from papayabay_daemon._internal.routing.hints import AdmissionHints
 
+SUSPECT = MemberState.SUSPECT
+"""Read for each choice; a member of an `Enum` is looked up in Python."""
 LOAD_DECAY_SECONDS = 0.5
 """Time in which a reported load loses two thirds of its weight. It is a few
 times the usual duration of a call, after which the load has changed."""
@@ -120,7 +122,7 @@
             at >= self.leaving_until
             and at >= self.ejection.until
             and not self.link_unresponsive
-            and self.member.state <= MemberState.SUSPECT
+            and self.member.state <= SUSPECT
         )
 
     def is_healthy(self, mean_latency, at):
@@ -140,12 +142,6 @@
             <= MAX_HEALTHY_LATENCY_RATIO * mean_latency
         )
 
-    def update_load(self, load, at):
-        """Record the load that an answer reports."""
-        self.load = load
-        self.load_updated_at = at
-        self.hints.update(load, at)
-
     def mark_leaving(self, at):
         """Record that it answered that it is leaving.
 
@@ -177,11 +173,12 @@
         load = self.load
         if load is None:
             return self.in_flight / max(1, self.member.slots)
+        limit = load.limit if load.limit > 1 else 1
         reported = load.in_flight + load.queued
         if not reported:
-            return self.in_flight / max(1, load.limit)
+            return self.in_flight / limit
         decayed = reported * exp((self.load_updated_at - at) / LOAD_DECAY_SECONDS)
-        return (self.in_flight + decayed) / max(1, load.limit)
+        return (self.in_flight + decayed) / limit
 
     def expected_latency(self, mean_latency, at):
         """Return the average latency, decaying to an optimistic guess.
@@ -193,7 +190,7 @@
         if self.latency:
             weight = exp((self.measured_at - at) / LATENCY_DECAY_SECONDS)
             expected += weight * (self.latency - expected)
-        return max(MIN_LATENCY_SECONDS, expected)
+        return expected if expected > MIN_LATENCY_SECONDS else MIN_LATENCY_SECONDS
 
     def error_penalty(self, at):
         """Return the amount by which its 5xx answers raise the score.
