Read a request's head once and answer it with fewer coroutines

Cause: Each request's head was converted to a dictionary by lower-case name, its size was summed field by field, and its fields were filtered with five checks each. A request without a body passed two coroutines that only read that there is none.

Change: The request keeps its fields and the declared length; the size is summed only if the segments that the head came in allow an excess. The filter reads a name's handling from the cache and checks a value once. The doors pass the call flow's coroutine on for a request without a body, and write a complete answer without a coroutine.

--- a/packages/papayabay-core/src/papayabay_core/http/heads.py
+++ b/packages/papayabay-core/src/papayabay_core/http/heads.py
@@ -6,12 +6,10 @@
 
 
 class Head:
-    """Start line and header fields of one message.
+    """Header fields of one answer.
 
     Parameters
     ----------
-    target : bytes
-        Request target; empty for an answer.
     fields : list of (bytes, bytes)
         Names and values in their original order and spelling.
 
@@ -21,32 +19,17 @@
         The first value of each field, by lower-case name.
     """
 
-    def __init__(self, fields, target=b""):
+    def __init__(self, fields):
         self.fields = fields
-        self.target = target
         # Not a cached property: its lock costs more than the dictionary, and
-        # each message needs it.
+        # each answer needs it.
         self.first = {name.lower(): value for name, value in reversed(fields)}
 
-    @property
-    def length(self):
-        """The declared length of the body, or None."""
-        value = self.first.get(CONTENT_LENGTH)
-        return None if value is None else int(value)
-
     @property
     def is_framed(self):
         """Whether the head determines where the body ends."""
         return CONTENT_LENGTH in self.first or TRANSFER_ENCODING in self.first
 
-    @property
-    def has_body(self):
-        """Whether a request with this head has a body."""
-        first = self.first
-        if TRANSFER_ENCODING in first:
-            return True
-        return CONTENT_LENGTH in first and bool(self.length)
-
 
 class HeaderCollector:
     """Mixin with the parser callbacks that collect header fields.
@@ -79,8 +62,9 @@
         ValueError
             When the message has more than `MAX_HEADER_FIELDS`.
         """
-        self.fields.append((name, value))
-        if len(self.fields) > MAX_HEADER_FIELDS:
+        fields = self.fields
+        fields.append((name, value))
+        if len(fields) > MAX_HEADER_FIELDS:
             raise ValueError("too many header fields")
 
     def end_head(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/body.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/body.py
@@ -47,7 +47,7 @@
         payload = self.request.payload
         if payload is None:
             return Body()
-        if (self.request.head.length or 0) > self.limits.body_bytes:
+        if (self.request.length or 0) > self.limits.body_bytes:
             raise self.fail(ErrorKind.BODY_TOO_LARGE)
         self.send_continue()
         parts = []
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/calls.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/calls.py
@@ -1,7 +1,13 @@
 """Base class of the doors for callers and for the target."""
 
+from papayabay_core.calls import Body
 from papayabay_core.errors import CallError
-from papayabay_daemon._internal.doors.incoming import bad_request, read_incoming
+from papayabay_daemon._internal.doors.body import RequestBody
+from papayabay_daemon._internal.doors.incoming import (
+    bad_request,
+    read_incoming,
+    set_body,
+)
 from papayabay_daemon._internal.doors.protocol import Door
 from papayabay_daemon._internal.doors.response import body_error_answer
 
@@ -9,16 +15,29 @@
 class CallDoor(Door):
     """A door that accepts calls."""
 
-    async def answer(self, request):
-        """Answer a call, or a request for a reserved path.
+    def answer(self, request):
+        """Return a coroutine that answers a call or a reserved path.
 
-        If the request's body could not be read, that error takes precedence
-        over the error that it caused.
+        For a request without a body it is that of the call flow itself: each
+        layer of coroutines costs every request processor time.
         """
         reserved = self.dialect.reserved_prefix
         if reserved and request.raw_path.startswith(reserved):
-            return await self.answer_reserved(request)
-        incoming, request_body = await read_incoming(request, self.limits, self.dialect)
+            return self.answer_reserved(request)
+        incoming = read_incoming(request, self.limits, self.dialect)
+        if request.payload is not None:
+            return self.answer_with_body(request, incoming)
+        set_body(incoming, Body(), request.length)
+        return self.run(incoming)
+
+    async def answer_with_body(self, request, incoming):
+        """Answer a call whose body is received.
+
+        If the body could not be read, that error takes precedence over the
+        error that it caused.
+        """
+        request_body = RequestBody(request, self.limits)
+        set_body(incoming, await request_body.read(), request.length)
         try:
             answer = await self.run(incoming)
         except CallError:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
@@ -1,7 +1,9 @@
 """Decides which header fields are forwarded and which are stripped here."""
 
+import re
 from dataclasses import dataclass, field
 from functools import lru_cache
+from typing import NamedTuple
 
 CONTROL_PREFIX = "papayabay-"
 SERVICE_HEADER = "papayabay-service"
@@ -53,13 +55,13 @@
 # also where it is not valid UTF-8.
 HEADER_CODEC = ("utf-8", "surrogateescape")
 
+BREAKS = re.compile(r"[\n\r\0]")
 MAX_CACHED_NAMES = 1_024
 MAX_CACHED_NAME_BYTES = 64
 
 
-@dataclass(frozen=True, slots=True)
-class FieldName:
-    """A field's name, and whether the field is forwarded.
+class FieldName(NamedTuple):
+    """A field's name, and what is done with the field.
 
     Attributes
     ----------
@@ -69,11 +71,14 @@
         The name in lower case.
     is_stripped : bool
         Whether the field is not forwarded.
+    is_inspected : bool
+        Whether this hop reads the field.
     """
 
     text: str
     key: str
     is_stripped: bool
+    is_inspected: bool
 
 
 class HeaderNames:
@@ -101,7 +106,7 @@
         """Return a raw name as `FieldName`."""
         text = raw_name.decode(*HEADER_CODEC)
         key = text.lower()
-        return FieldName(text, key, self.is_stripped(key))
+        return FieldName(text, key, self.is_stripped(key), key in self.inspected)
 
 
 def is_stripped_by_default(key):
@@ -155,22 +160,27 @@
         would take for the start of another field, and for a repeated field
         that must not be repeated.
     """
-    fields = Fields()
+    forwarded, inspected, connection = [], {}, []
+    classify = names.classify_cached
     for raw_name, raw_value in raw_headers:
-        known = len(raw_name) <= MAX_CACHED_NAME_BYTES
-        name = (names.classify_cached if known else names.classify)(raw_name)
-        value = raw_value.decode(*HEADER_CODEC)
-        if "\n" in value or "\r" in value or "\0" in value:
-            raise ValueError(f"{name.text} has a line break or NUL")
-        if name.key in names.inspected:
-            if name.key in fields.inspected and name.key in names.single:
-                raise ValueError(f"{name.text} is given more than once")
-            fields.inspected[name.key] = value
-        if not name.is_stripped:
-            fields.forwarded.append((name.text, value))
-        elif name.key == "connection":
-            fields.connection.append(value)
-    if fields.connection:
+        if len(raw_name) > MAX_CACHED_NAME_BYTES:
+            text, key, is_stripped, is_inspected = names.classify(raw_name)
+        else:
+            text, key, is_stripped, is_inspected = classify(raw_name)
+        value = raw_value.decode("utf-8", "surrogateescape")
+        # One check for nearly all values; a printable one has no such byte.
+        if not value.isprintable() and BREAKS.search(value):
+            raise ValueError(f"{text} has a line break or NUL")
+        if is_inspected:
+            if key in inspected and key in names.single:
+                raise ValueError(f"{text} is given more than once")
+            inspected[key] = value
+        if not is_stripped:
+            forwarded.append((text, value))
+        elif key == "connection":
+            connection.append(value)
+    fields = Fields(forwarded, inspected, connection)
+    if connection:
         drop_named(fields)
     return fields
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -7,7 +7,6 @@
 from papayabay_core.calls import Answer, Body
 from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_daemon._internal.doors import headers as rules
-from papayabay_daemon._internal.doors.body import RequestBody
 
 
 @dataclass(slots=True)
@@ -109,10 +108,12 @@
     CallError
         HEADERS_TOO_LARGE, or BAD_REQUEST.
     """
-    raw_headers = request.head.fields
-    size = sum([len(name) + len(value) + 4 for name, value in raw_headers])
-    if size > limits.header_bytes:
-        raise CallError(ErrorKind.HEADERS_TOO_LARGE)
+    raw_headers = request.fields
+    # The exact size is computed only where the segments allow an excess.
+    if request.max_head_bytes > limits.header_bytes:
+        size = sum([len(name) + len(value) + 4 for name, value in raw_headers])
+        if size > limits.header_bytes:
+            raise CallError(ErrorKind.HEADERS_TOO_LARGE)
     try:
         return rules.filter_headers(raw_headers, names)
     except ValueError as error:
@@ -129,8 +130,8 @@
     return path
 
 
-async def read_incoming(request, limits, dialect):
-    """Return a request as `IncomingRequest`, and the reader of its body.
+def read_incoming(request, limits, dialect):
+    """Return a request as `IncomingRequest`, without its body.
 
     Parameters
     ----------
@@ -140,21 +141,25 @@
 
     Returns
     -------
-    IncomingRequest, RequestBody
+    IncomingRequest
 
     Raises
     ------
     CallError
-        BAD_REQUEST, HEADERS_TOO_LARGE or BODY_TOO_LARGE.
+        BAD_REQUEST or HEADERS_TOO_LARGE.
     """
     fields = read_headers(request, limits, dialect.names)
     if request.method == "CONNECT":
         raise bad_request("CONNECT is not supported")
-    incoming = dialect.read(request.method, read_path(request), fields)
-    request_body = RequestBody(request, limits)
-    incoming.body = await request_body.read()
-    if incoming.body.is_complete and "content-length" in fields.inspected:
-        # Recomputed when the request is sent. A streamed body keeps its
-        # declared length, since it is forwarded unchanged.
+    return dialect.read(request.method, read_path(request), fields)
+
+
+def set_body(incoming, body, length):
+    """Set a request's body; `length` is the declared one or None.
+
+    The length of a complete body is computed anew when the request is sent. A
+    streamed body keeps its declared length, as it is forwarded unchanged.
+    """
+    incoming.body = body
+    if length is not None and body.rest is None:
         incoming.headers = rules.without_field(incoming.headers, "content-length")
-    return incoming, request_body
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
@@ -17,6 +17,9 @@
 }
 STATUS_LINES[499] = "HTTP/1.1 499 Client Closed Request\r\n"
 WITHOUT_BODY = frozenset({204, 304})
+SPECIAL_NAME_LENGTHS = frozenset({len("content-length"), len("date")})
+"""Lengths of the names of fields that are not simply copied. Comparing them
+takes less time than a conversion of each name to lower case."""
 
 
 class HttpDate:
@@ -67,8 +70,11 @@
         self.connection = None
         self.request = None
 
-    async def send(self, connection, request, is_last):
-        """Write head and body.
+    def send(self, connection, request, is_last):
+        """Write head and body, or return what writes a streamed body.
+
+        An answer that is complete in memory, as most are, is written at once,
+        without a coroutine.
 
         Parameters
         ----------
@@ -78,6 +84,11 @@
         is_last : bool
             Whether the connection is closed after this answer.
 
+        Returns
+        -------
+        coroutine or None
+            Writes a streamed answer; None if the answer is written.
+
         Raises
         ------
         ConnectionError
@@ -86,19 +97,30 @@
         """
         self.connection = connection
         self.request = request
-        self.keep_alive = self.keep_alive and not is_last
+        if is_last:
+            self.keep_alive = False
+        if self.answer.body.rest is not None:
+            return self.send_stream()
+        self.check_open()
+        connection.transport.write(self.whole_message())
+        return None
+
+    async def send_stream(self):
+        """Write head and streamed body, and close the body's source."""
         try:
-            if connection.closed or connection.transport.is_closing():
-                raise ConnectionResetError("the client closed the connection")
-            if self.answer.body.is_complete:
-                connection.transport.write(self.whole_message())
-            else:
-                await self.write_stream()
+            self.check_open()
+            await self.write_stream()
         finally:
             close = getattr(self.answer.body.rest, "aclose", None)
             if close is not None:
                 await close()
 
+    def check_open(self):
+        """Raise `ConnectionResetError` if the client closed the connection."""
+        connection = self.connection
+        if connection.closed or connection.transport.is_closing():
+            raise ConnectionResetError("the client closed the connection")
+
     @property
     def predates_http_1_1(self):
         """Whether the client uses an HTTP version before 1.1."""
@@ -142,10 +164,11 @@
         lines = [STATUS_LINES.get(answer.status) or f"HTTP/1.1 {answer.status} \r\n"]
         dated = False
         for name, value in answer.headers:
-            key = name.lower()
-            if key == "content-length" and not keep_length:
-                continue
-            dated = dated or key == "date"
+            if len(name) in SPECIAL_NAME_LENGTHS:
+                key = name.lower()
+                if key == "content-length" and not keep_length:
+                    continue
+                dated = dated or key == "date"
             lines.append(f"{name}: {value}\r\n")
         if not dated:
             lines.append(DATE.current())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/request.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/request.py
@@ -2,10 +2,14 @@
 
 from urllib.parse import parse_qsl, unquote, urlsplit
 
+from papayabay_core.http.heads import CONTENT_LENGTH, TRANSFER_ENCODING
 from papayabay_core.http.payload import Payload
 
 CONCURRENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 """Safe methods (RFC 9110, section 9.2.1), which may run in any order."""
+FRAMING_NAME_LENGTHS = frozenset({len(CONTENT_LENGTH), len(TRANSFER_ENCODING)})
+"""Lengths of the names that determine whether a body follows. Comparing them
+takes less time than a conversion of each name to lower case."""
 
 
 class Request:
@@ -17,33 +21,56 @@
     method : str
     raw_path : str
         The request target as received.
-    head : Head
+    fields : list of (bytes, bytes)
+        Names and values of the header in their original order and spelling.
+    max_head_bytes : int
+        The head has at most this size, the sum of the segments it came in.
     version : str
         HTTP version, such as ``"1.1"``.
     keep_alive : bool
         Whether the client allows further requests on the connection.
+    length : int or None
+        The declared length of the body.
     payload : Payload or None
         The body; None if the request has none.
     """
 
     __slots__ = (
         "connection",
-        "head",
+        "fields",
         "keep_alive",
+        "length",
+        "max_head_bytes",
         "method",
         "payload",
         "raw_path",
         "version",
     )
 
-    def __init__(self, connection, head, method, version, keep_alive):
+    def __init__(
+        self, connection, fields, target, max_head_bytes, method, version, keep_alive
+    ):
         self.connection = connection
         self.method = method
-        self.raw_path = head.target.decode("utf-8", "surrogateescape")
-        self.head = head
+        self.raw_path = target.decode("utf-8", "surrogateescape")
+        self.fields = fields
+        self.max_head_bytes = max_head_bytes
         self.version = version
         self.keep_alive = keep_alive
-        self.payload = Payload(connection) if head.has_body else None
+        self.length = None
+        self.payload = None
+        for name, value in fields:
+            if len(name) in FRAMING_NAME_LENGTHS:
+                self.read_framing(name.lower(), value)
+
+    def read_framing(self, name, value):
+        """Read a field that may declare a body; `name` is in lower case."""
+        has_body = name == TRANSFER_ENCODING
+        if name == CONTENT_LENGTH and self.length is None:
+            self.length = int(value)
+            has_body = self.length > 0
+        if has_body and self.payload is None:
+            self.payload = Payload(self.connection)
 
     @property
     def path(self):
@@ -67,4 +94,7 @@
 
     def header(self, name):
         """Return a field's first value, or ""; `name` is in lower case."""
-        return self.head.first.get(name, b"").decode("utf-8", "surrogateescape")
+        for field_name, value in self.fields:
+            if field_name.lower() == name:
+                return value.decode("utf-8", "surrogateescape")
+        return ""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
@@ -8,7 +8,7 @@
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.http.connection import HttpConnection
-from papayabay_core.http.heads import Head, HeaderCollector
+from papayabay_core.http.heads import HeaderCollector
 from papayabay_daemon._internal.http.request import Request
 
 KEEP_ALIVE_SECONDS = 75.0
@@ -89,8 +89,12 @@
         Started exchanges whose answer is not sent yet, the oldest first.
     waiting : deque of Exchange
         Exchanges that have not started.
-    deaf : bool
+    discarding : bool
         Whether further received data is discarded.
+    segment_bytes : int
+        Size of the segment that is being parsed.
+    unfinished_bytes : int
+        Bytes of earlier segments that contain a part of the current head.
     last_used : float
         When a request was last received or answered, on the loop's clock.
     timer : asyncio.TimerHandle or None
@@ -109,6 +113,8 @@
         self.running = deque()
         self.queued = deque()
         self.discarding = False
+        self.segment_bytes = 0
+        self.unfinished_bytes = 0
         self.last_used = 0.0
         self.timer = None
 
@@ -156,56 +162,63 @@
     # Called with received data, and by the parser.
 
     def data_received(self, data):
-        """Parse received data; complete request heads start requests."""
+        """Parse received data; complete request heads start requests.
+
+        A server may ignore an Upgrade field (RFC 9110, section 7.8). The
+        parser stops after such a request and continues when it is fed again.
+        """
         if self.discarding:
             return
         within_head = self.in_head
+        size = self.segment_bytes = len(data)
         try:
-            self.parse(data)
+            while data and not self.discarding:
+                try:
+                    self.parser.feed_data(data)
+                    break
+                except httptools.HttpParserUpgrade as upgrade:
+                    data = data[upgrade.args[0] :]
         except httptools.HttpParserError:
             if not self.discarding:
                 self.handle_malformed(
                     CallError(ErrorKind.BAD_REQUEST, "the message is no HTTP")
                 )
             return
-        if within_head and self.in_head:
-            self.head_bytes += len(data)
+        if not self.in_head:
+            self.unfinished_bytes = 0
+            return
+        self.unfinished_bytes += size
+        if within_head:
+            self.head_bytes += size
             if self.head_bytes > self.header_bytes:
                 self.handle_malformed(CallError(ErrorKind.HEADERS_TOO_LARGE))
 
-    def parse(self, data):
-        """Parse bytes and ignore requests to upgrade the protocol.
-
-        A server may ignore an Upgrade field (RFC 9110, section 7.8). The
-        parser stops after such a request and continues when it is fed again.
-        """
-        while data and not self.discarding:
-            try:
-                self.parser.feed_data(data)
-                return
-            except httptools.HttpParserUpgrade as upgrade:
-                data = data[upgrade.args[0] :]
-
     def on_url(self, target):
         """Append a part of the request target."""
         self.target += target
 
     def on_headers_complete(self):
-        """Queue the request, and start it if it may run now."""
-        head = Head(self.end_head(), self.target)
+        """Start the request, or queue it if it may not run now."""
+        fields, target = self.end_head(), self.target
         self.target = b""
         if self.discarding:
             return
         parser = self.parser
         self.request = Request(
             self,
-            head,
+            fields,
+            target,
+            self.unfinished_bytes + self.segment_bytes,
             parser.get_method().decode(),
             parser.get_http_version(),
             parser.should_keep_alive(),
         )
         self.last_used = self.loop.time()
-        self.queued.append(Exchange(self.request))
+        exchange = Exchange(self.request)
+        if not self.running and not self.queued:
+            self.start(exchange)
+            return
+        self.queued.append(exchange)
         self.start_next()
 
     def on_body(self, data):
@@ -245,16 +258,18 @@
 
         Reading resumes when fewer are queued.
         """
-        loop = self.loop
         while self.queued and self.may_start(self.queued[0]):
-            exchange = self.queued.popleft()
-            self.running.append(exchange)
-            exchange.task = loop.create_task(self.serve(exchange))
+            self.start(self.queued.popleft())
         if len(self.queued) > self.max_running:
             self.pause_reading(QUEUE_HOLDER)
         elif self.read_pauses:
             self.resume_reading(QUEUE_HOLDER)
 
+    def start(self, exchange):
+        """Start the task that answers a request."""
+        self.running.append(exchange)
+        exchange.task = self.loop.create_task(self.serve(exchange))
+
     def may_start(self, exchange):
         """Return whether an exchange may start beside the running ones.
 
@@ -281,7 +296,11 @@
             if self.running[0] is not exchange:
                 exchange.turn = self.loop.create_future()
                 await exchange.turn
-            await response.send(self, exchange.request, self.closes_after(exchange))
+            streaming = response.send(
+                self, exchange.request, self.closes_after(exchange)
+            )
+            if streaming is not None:
+                await streaming
         except ConnectionError as error:
             log.debug("Answer not delivered, connection reset: {!r}", error)
             self.reset()
@@ -303,7 +322,9 @@
         would be taken for the head of the next request.
         """
         request = exchange.request
-        if request is None or not request.keep_alive or not request.is_read:
+        if request is None or not request.keep_alive:
+            return True
+        if request.payload is not None and not request.payload.fully_read:
             return True
         return self.responder.stopping and len(self.running) == 1
 
