Run a request through fewer layers of the call flow

Cause: A request passed seven coroutines between the door and the dispatcher, and a child call six. The policy was asked for its decisions in most of them, an account's usage was computed for requests that nothing was reserved for, and each request of a client compared its expiry with every live call through a dictionary and a function per call.

Change: Layers that only choose the next one return its coroutine. A child call awaits the dispatcher with one coroutine in between. The parent of a call is found by one comprehension. Latencies and objectives are counted without intermediate calls, and an unscaled rank is not scaled.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
@@ -56,7 +56,7 @@
         account = identity.account if identity else NO_ACCOUNT
         declared = rule.importance if account.importance is None else account.importance
         rank = rank_of(incoming.idempotency_key or request_id)
-        importance, rank = self.priority(rule, account, declared, rank)
+        importance, rank = self.priority(rule, account, declared, rank, decisions)
         return Call(
             request_id=request_id,
             service=incoming.service,
@@ -80,7 +80,7 @@
             key_digest=identity.key_digest if identity else "",
         )
 
-    def priority(self, rule, account, declared, rank):
+    def priority(self, rule, account, declared, rank, decisions):
         """Return the class and rank that a request has in all queues.
 
         Parameters
@@ -90,15 +90,20 @@
         declared : Importance
             Class that policy gives the request.
         rank : int
+        decisions : Decisions
+            Of the policy in force.
         """
-        decisions = self.components.policy().decisions
         importance, rank = effective_priority(declared, rank, decisions.kept_share)
         if decisions.equals == "work" and importance is declared:
-            rank = scaled_rank(rank, self.work_factor(rule))
+            factor = self.work_factor(rule)
+            if factor != 1.0:
+                rank = scaled_rank(rank, factor)
         if decisions.account_shares == "max-min":
             # Also for requests treated as critical: all ranks of a class must
             # have the same scale, else these would be refused first.
-            rank = scaled_rank(rank, self.share_factor(account))
+            factor = self.share_factor(account)
+            if factor != 1.0:
+                rank = scaled_rank(rank, factor)
         if account.importance is not None and importance is declared:
             rank = rank_in_account_class(rule.importance, rank)
         return importance, rank
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -78,26 +78,31 @@
             Errors are returned as answers too. An answer has the request's
             identifier as a header if the caller sent none.
         """
-        self.components.counters.entered += 1
+        components = self.components
+        components.counters.entered += 1
         request_id = incoming.request_id or new_identifier()
         started = now()
-        rule = None
+        rule = identity = None
         self.begin_request()
         try:
             self.pause.check()
-            self.infer_parent(incoming)
+            policy = components.policy()
+            if components.settings.calls.infer_parents:
+                self.infer_parent(incoming)
             rule = self.find_rule(incoming)
-            answer = await self.run_request(incoming, rule, request_id)
+            if policy.accounts and not incoming.call_token:
+                identity = await components.accounts.authenticate(incoming, rule)
+            answer = await self.run_request(incoming, rule, request_id, identity)
         except CallError as error:
             answer = error_answer(error)
         except asyncio.CancelledError:
-            self.components.counters.left += 1
+            components.counters.left += 1
             raise
         finally:
             self.end_request()
         elapsed = now() - started
         self.count_answer(rule, answer, elapsed)
-        if answer.kind is not None and self.components.log.acquire():
+        if answer.kind is not None and components.log.acquire():
             self.log_answer(incoming, request_id, rule, answer, elapsed)
         if not incoming.request_id:
             answer.headers = [*answer.headers, (REQUEST_HEADER, request_id)]
@@ -119,8 +124,9 @@
 
     def begin_request(self):
         """Count a request that a shutdown has to wait for."""
+        if self.in_flight == 0:
+            self.idle.clear()
         self.in_flight += 1
-        self.idle.clear()
 
     def end_request(self):
         """Stop counting a request that has ended."""
@@ -141,36 +147,40 @@
             raise CallError(ErrorKind.LEAVING, "this entry is leaving")
         policy = self.components.policy()
         if incoming.host:
-            return self.route(policy, incoming)
+            route = policy.routes.find(incoming.host, incoming.path)
+            if route is None:
+                raise unknown_service(policy, "no route takes this host and path")
+            rule = route.pick(self.components.random)
+            incoming.service = rule.service
+            return rule
         if not policy.has_service(incoming.service):
             raise unknown_service(policy, incoming.service)
         return policy.rule_for(incoming.service, incoming.method, incoming.path)
 
-    def route(self, policy, incoming):
-        """Return the rule of a request that only has a host and a path."""
-        route = policy.routes.find(incoming.host, incoming.path)
-        if route is None:
-            raise unknown_service(policy, "no route takes this host and path")
-        rule = route.pick(self.components.random)
-        incoming.service = rule.service
-        return rule
-
-    async def run_request(self, incoming, rule, request_id):
-        """Run a caller's request as a root call, or as a live call's child."""
+    # The functions without `async` return a coroutine of the next layer: each
+    # layer that only awaits another one costs every call a coroutine more.
+
+    def run_request(self, incoming, rule, request_id, identity=None):
+        """Run a caller's request as a root call, or as a live call's child.
+
+        Parameters
+        ----------
+        incoming : IncomingRequest
+        rule : CallRule
+        request_id : str
+        identity : Identity or None
+            The account that the request was authenticated for.
+        """
         if incoming.call_token:
             live = self.tree.find(incoming.call_token)
-            return await self.run_child(incoming, rule, live)
-        identity = await self.components.accounts.authenticate(incoming, rule)
+            return self.run_child(incoming, rule, live)
         call = self.entry_call(incoming, rule, request_id, identity)
         if identity is not None:
             incoming.account = identity.account.name
         decisions = self.components.policy().decisions
         if decisions.return_times == "backlog" and decisions.retry_after:
-            return await self.run_returning(call, rule, identity)
-        return await self.run_entered(call, rule, identity)
-
-    # The functions without `async` return a coroutine of the next layer: each
-    # layer that only awaits another one costs every call a coroutine more.
+            return self.run_returning(call, rule, identity)
+        return self.run_entered(call, rule, identity)
 
     def run_entered(self, call, rule, identity):
         """Run a caller's request, within its account's limit if it has one."""
@@ -182,20 +192,22 @@
             return self.components.demand_reports.watch(account, running)
         return running
 
-    async def run_returning(self, call, rule, identity):
+    def run_returning(self, call, rule, identity):
         """Run a request whose refusal tells a time by the backlog.
 
         One that has come back at its time gets the best rank of its class,
         unless its account demands more than its share of the capacity.
         """
         returned = self.returns.recognise(call)
-        account = identity.account if identity else NO_ACCOUNT
-        if has_share(account, self.components.policy().decisions):
-            returned &= not self.components.demand_reports.shares.is_beyond(account)
-        if returned and call.declared_class is None:
-            call.rank = best_rank(rule.importance, account.importance)
+        if returned:
+            account = identity.account if identity else NO_ACCOUNT
+            if has_share(account, self.components.policy().decisions):
+                shares = self.components.demand_reports.shares
+                returned = not shares.is_beyond(account)
+            if returned and call.declared_class is None:
+                call.rank = best_rank(rule.importance, account.importance)
         running = self.run_entered(call, rule, identity)
-        return await self.returns.run(call, rule, returned, running)
+        return self.returns.run(call, rule, returned, running)
 
     async def run_limited(self, call, rule, account):
         """Run a caller's request if its account is within its limit.
@@ -222,9 +234,11 @@
         """Run a call to its end even if its caller disconnects."""
         return await asyncio.shield(asyncio.ensure_future(self.run(call, rule, None)))
 
-    async def run(self, call, rule, account):
+    def run(self, call, rule, account):
         """Dispatch a call, through the gate if it may run at most once.
 
+        Errors are raised by the coroutine that is returned, not here.
+
         Parameters
         ----------
         call : Call
@@ -237,15 +251,21 @@
         if not rule.idempotent and rule.at_most_once != "attempt":
             if call.idempotency_key:
                 dispatch = partial(self.dispatch, account=account)
-                return await self.gate.run(call, rule, dispatch)
+                return self.gate.run(call, rule, dispatch)
             if call.depth == 0:
-                raise CallError(ErrorKind.KEY_MISSING)
+                return self.refuse_without_key()
         if account is None:
-            account = self.entry_account(call)
-        return await self.dispatcher.dispatch(call, account)
+            if call.idempotency_key:
+                return self.dispatch(call, None)
+            account = CreditAccount(call.credits)
+        return self.dispatcher.dispatch(call, account)
+
+    async def refuse_without_key(self):
+        """Refuse a call that may run at most once and has no key."""
+        raise CallError(ErrorKind.KEY_MISSING)
 
     async def dispatch(self, call, account):
-        """Dispatch a call that the gate has admitted; see `run`."""
+        """Dispatch a call with an idempotency key; see `run`."""
         if account is None:
             account = self.entry_account(call)
         return await self.dispatcher.dispatch(call, account)
@@ -317,9 +337,7 @@
         own, a request that makes nine calls, each refused with a probability
         of one in ten, would seldom succeed.
         """
-        if not self.components.settings.calls.infer_parents:
-            return
-        if self.components.accounts.is_on:
+        if self.components.policy().accounts:
             self.find_named_parent(incoming)
             return
         expires_at = None
@@ -353,9 +371,12 @@
         if self.components.policy().decisions.queue_order == "due":
             slack = self.tree.slack
             slack.begin_call(live, call, now())
-        answer = await answer_or_error(
-            self.tree.run_while_live(live, self.run(call, rule, live.account))
-        )
+        try:
+            answer = await self.tree.run_while_live(
+                live, self.run(call, rule, live.account)
+            )
+        except CallError as error:
+            answer = error_answer(error)
         if slack is not None:
             slack.end_call(live, now())
         live.downstream_failed |= answer.failed
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/pause.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/pause.py
@@ -39,11 +39,12 @@
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
     def tick(self):
-        """Record that the process runs, and detect a pause before now."""
+        """Record that the process runs, detect a pause, return the time."""
         current = self.clock()
         if current - self.last_tick_at > MIN_PAUSE_SECONDS:
             self.resumed_at = current
         self.last_tick_at = current
+        return current
 
     def check(self):
         """Refuse a request that may have been waiting during a pause.
@@ -56,6 +57,5 @@
         CallError
             EXPIRED_UNSENT, shortly after a pause.
         """
-        self.tick()
-        if self.clock() - self.resumed_at < REFUSE_AFTER_RESUME_SECONDS:
+        if self.tick() - self.resumed_at < REFUSE_AFTER_RESUME_SECONDS:
             raise CallError(ErrorKind.EXPIRED_UNSENT, "this daemon was paused")
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 from dataclasses import dataclass, field
 
@@ -131,13 +132,11 @@
         expires_at : float
             Time on `clock.now()` at which the outgoing call expires.
         """
-        offsets = {
-            token: expires_at - live.call.expires_at
-            for token, live in self.live.items()
-        }
-        token = min(offsets, key=lambda token: abs(offsets[token]), default="")
-        near = token and -MAX_EARLIER_SECONDS <= offsets[token] <= MAX_LATER_SECONDS
-        return token if near else ""
+        offsets = [expires_at - live.call.expires_at for live in self.live.values()]
+        nearest = min(offsets, key=abs, default=math.inf)
+        if not -MAX_EARLIER_SECONDS <= nearest <= MAX_LATER_SECONDS:
+            return ""
+        return list(self.live)[offsets.index(nearest)]
 
     def end(self, token, cancelled):
         """Remove a call, and cancel its outgoing calls if it was cut off.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/latencies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/latencies.py
@@ -10,6 +10,8 @@
 to 1.5 s; the bounds below show the latency that the daemon itself adds."""
 MAX_SERIES = 512
 """Most pairs of path and outcome with histograms; each takes about 0.5 KB."""
+CANCELLED = object()
+"""Stands for the error kind of an attempt without an answer."""
 
 
 @dataclass(slots=True)
@@ -27,17 +29,6 @@
     counts: list = field(default_factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1))
     seconds: float = 0.0
 
-    def observe(self, elapsed):
-        """Count one latency.
-
-        Parameters
-        ----------
-        elapsed : float
-            Seconds.
-        """
-        self.counts[bisect_left(LATENCY_BUCKETS_S, elapsed)] += 1
-        self.seconds += elapsed
-
 
 class Latencies:
     """Latency histograms by path and outcome.
@@ -56,28 +47,42 @@
         self.attempts = {}
         self.series = set()
         self.left_out = 0
-        # Saves computing the outcome's name, about a microsecond per call.
-        self.histogram_cache = {}
+        # By path key and error kind, which saves computing the outcome's name.
+        self.request_cache = {}
+        self.attempt_cache = {}
 
     def request_ended(self, path_key, answer, elapsed):
         """Record the latency of a request; `elapsed` is in seconds."""
-        self.observe(self.requests, "request", path_key, answer, elapsed)
+        key = path_key, answer.kind
+        histogram = self.request_cache.get(key)
+        if histogram is None:
+            histogram = self.find(self.requests, path_key, answer)
+            if histogram is None:
+                return
+            self.request_cache[key] = histogram
+        histogram.counts[bisect_left(LATENCY_BUCKETS_S, elapsed)] += 1
+        histogram.seconds += elapsed
 
     def attempt_ended(self, path_key, answer, elapsed):
-        """Record the latency of an attempt; `elapsed` is in seconds."""
-        self.observe(self.attempts, "attempt", path_key, answer, elapsed)
+        """Record the latency of an attempt; `elapsed` is in seconds.
 
-    def observe(self, histograms, event, path_key, answer, elapsed):
-        """Record a latency, or count it as left out beyond `MAX_SERIES`."""
-        kind = None if answer is None else answer.kind
-        cache_key = (event, path_key, answer is None, kind)
-        histogram = self.histogram_cache.get(cache_key)
+        `answer` is None for a cancelled attempt.
+        """
+        key = path_key, CANCELLED if answer is None else answer.kind
+        histogram = self.attempt_cache.get(key)
         if histogram is None:
-            series = (path_key, outcome_of(answer))
-            if series not in self.series and len(self.series) >= MAX_SERIES:
-                self.left_out += 1
+            histogram = self.find(self.attempts, path_key, answer)
+            if histogram is None:
                 return
-            self.series.add(series)
-            histogram = histograms.setdefault(series, Histogram())
-            self.histogram_cache[cache_key] = histogram
-        histogram.observe(elapsed)
+            self.attempt_cache[key] = histogram
+        histogram.counts[bisect_left(LATENCY_BUCKETS_S, elapsed)] += 1
+        histogram.seconds += elapsed
+
+    def find(self, histograms, path_key, answer):
+        """Return an outcome's histogram; None beyond `MAX_SERIES`."""
+        series = path_key, outcome_of(answer)
+        if series not in self.series and len(self.series) >= MAX_SERIES:
+            self.left_out += 1
+            return None
+        self.series.add(series)
+        return histograms.setdefault(series, Histogram())
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
@@ -61,6 +61,7 @@
         self.size = size
         self.slots = array("L", [0]) * (size * len(OUTCOMES))
         self.newest_period = int(now() / period)
+        self.newest_start = (self.newest_period % size) * len(OUTCOMES)
 
     def advance(self, moment):
         """Clear the slots of the periods that began since the last call.
@@ -74,11 +75,13 @@
             for outcome in range(len(OUTCOMES)):
                 self.slots[start + outcome] = 0
         self.newest_period = max(self.newest_period, current)
+        self.newest_start = (self.newest_period % self.size) * len(OUTCOMES)
 
     def record(self, outcome, moment):
         """Count one request in the current period."""
-        self.advance(moment)
-        self.slots[(self.newest_period % self.size) * len(OUTCOMES) + outcome] += 1
+        if int(moment / self.period) != self.newest_period:
+            self.advance(moment)
+        self.slots[self.newest_start + outcome] += 1
 
     def total(self, seconds, moment):
         """Return counts by outcome name over the last `seconds`."""
@@ -133,7 +136,7 @@
         """
         if rule.objective is None or answer.kind in CALLER_FAULTS:
             return
-        rings = self.rings_of(rule.path_key)
+        rings = self.paths.get(rule.path_key) or self.add_rings(rule.path_key)
         if rings is None:
             self.left_out += 1
             return
@@ -142,11 +145,11 @@
         rings.minutes.record(outcome, moment)
         rings.hours.record(outcome, moment)
 
-    def rings_of(self, path_key):
-        """Return a path's rings, or None for a new path beyond the limit."""
-        rings = self.paths.get(path_key)
-        if rings is None and len(self.paths) < MAX_PATHS:
-            rings = self.paths[path_key] = PathRings()
+    def add_rings(self, path_key):
+        """Return a new path's rings, or None beyond the limit of paths."""
+        if len(self.paths) >= MAX_PATHS:
+            return None
+        rings = self.paths[path_key] = PathRings()
         return rings
 
     def totals(self, windows):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
@@ -62,7 +62,7 @@
 
     def recognise(self, call):
         """Return whether a request has come back at the time it was told."""
-        if not self.reservations:
+        if not self.reservations.in_order:
             return False
         moment = self.clock()
         self.reservations.expire(moment)
