Keep the threshold as a level, and read the head of an answer as before

Cause: the threshold was computed from its bucket for each load report; a call that may finish in time was checked by two functions; the names of an answer were hashed twice, once to find their lower-case forms. Change: `AdmitLevel.level` changes with its window. A probe is asked for only when a call is too late. A claim refills its bucket once.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -1,7 +1,6 @@
 """HTTP client connections, which send one request at a time."""
 
 from collections import deque
-from functools import lru_cache
 
 import httptools
 
@@ -11,39 +10,6 @@
 
 FIRST_FINAL_STATUS = 200
 """Lower statuses are interim answers (1xx)."""
-MAX_CACHED_HEADS = 64
-"""Sequences of field names whose lower-case forms are cached. A server sends
-few different ones, and their length is limited with that of the head."""
-
-
-class AnswerHead(Head):
-    """The head of an answer.
-
-    Servers repeat the same names in the same order, so names and values are
-    kept apart, and what depends on the names alone can be cached.
-
-    Parameters
-    ----------
-    fields : list of (bytes, bytes)
-
-    Attributes
-    ----------
-    names, values : tuple of bytes
-        As received, in their original order.
-    """
-
-    def __init__(self, fields):
-        self.fields = fields
-        self.names, self.values = zip(*fields, strict=True) if fields else ((), ())
-        self.first = dict(
-            zip(reversed_keys(self.names), reversed(self.values), strict=True)
-        )
-
-
-@lru_cache(maxsize=MAX_CACHED_HEADS)
-def reversed_keys(names):
-    """Return field names in lower case and in reverse order."""
-    return tuple(name.lower() for name in reversed(names))
 
 
 class Message:
@@ -53,7 +19,7 @@
     ----------
     status : int
         HTTP status.
-    head : AnswerHead
+    head : Head
     payload : Payload
         Its body, which may still be incomplete.
     """
@@ -205,7 +171,7 @@
         fields = self.end_head()
         if len(fields) > MAX_HEADER_FIELDS:
             raise ValueError("too many header fields")
-        head = AnswerHead(fields)
+        head = Head(fields)
         if status < FIRST_FINAL_STATUS:
             return
         self.message = Message(status, head, Payload(self))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/admit_level.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/admit_level.py
@@ -71,12 +71,18 @@
         Takes `now`; returns the queueing time minus its target, in seconds,
         and the share of slot time that was used since the previous call.
     gains : ThresholdGains
+
+    Attributes
+    ----------
+    level : int
+        The threshold as an admission level, as of the last window.
     """
 
     def __init__(self, pressure, gains=ThresholdGains()):
         self.pressure = pressure
         self.gains = gains
         self.bucket = LAST_BUCKET
+        self.level = ADMIT_ALL
         self.window_end = 0.0
         self.arrivals = [0.0] * BUCKETS
         self.served_calls = 0.0
@@ -107,9 +113,7 @@
         """Return the threshold as an admission level."""
         if now >= self.window_end:
             self.end_window(now)
-        if self.bucket >= LAST_BUCKET:
-            return ADMIT_ALL
-        return ((self.bucket + 1) << BUCKET_SHIFT) - 1
+        return self.level
 
     def end_window(self, now):
         """Update the threshold from the counts of the window that ended."""
@@ -122,6 +126,8 @@
             self.lower(excess)
         elif lowered:
             self.raise_threshold(utilization, 1.0 + late)
+        is_open = self.bucket >= LAST_BUCKET
+        self.level = ADMIT_ALL if is_open else ((self.bucket + 1) << BUCKET_SHIFT) - 1
         self.refusals = self.critical_refusals = 0
         self.served_calls *= DECAY
         self.arrivals = [count * DECAY for count in self.arrivals]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
@@ -70,10 +70,12 @@
         remaining = call.expires_at - now
         if remaining <= 0:
             return self.expiry_error(call)
-        times = self.capacity.times
-        if times.cannot_finish(call.path_key, remaining - call.rest_s, now):
-            return self.error(call, ErrorKind.LIFETIME_TOO_SHORT)
-        return None
+        times = self.capacity.times.paths.get(call.path_key)
+        if times is None or remaining - call.rest_s >= times.low:
+            return None
+        if times.takes_probe(now):
+            return None
+        return self.error(call, ErrorKind.LIFETIME_TOO_SHORT)
 
     def expiry_error(self, call):
         """Count a call whose deadline passed, and return its error."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/service_times.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/service_times.py
@@ -41,6 +41,18 @@
     low: float
     probed_at: float = 0.0
 
+    def takes_probe(self, now):
+        """Return whether a call may be a probe now; if so, it must be one.
+
+        One call per `PROBE_PERIOD_S` is admitted although it can't finish in
+        time. Without probes a path with too high an estimate would refuse
+        every call, and the estimate would never be corrected.
+        """
+        if now - self.probed_at < PROBE_PERIOD_S:
+            return False
+        self.probed_at = now
+        return True
+
 
 class ServiceTimes:
     """Estimates of the time from forwarding a call to its answer."""
@@ -83,21 +95,6 @@
         """Return the expected time of a path relative to that of all calls."""
         return self.mean(path_key) / max(self.overall.mean, MIN_MEAN_S)
 
-    def cannot_finish(self, path_key, remaining, now):
-        """Whether a call can't finish in the remaining seconds.
-
-        One such call per `PROBE_PERIOD_S` is still admitted as a probe.
-        Without probes a path with too high an estimate would refuse every
-        call, and the estimate would never be corrected.
-        """
-        times = self.paths.get(path_key)
-        if times is None or remaining >= times.low:
-            return False
-        if now - times.probed_at < PROBE_PERIOD_S:
-            return True
-        times.probed_at = now
-        return False
-
     def add(self, path_key, elapsed):
         if not self.paths:
             self.overall.mean = self.overall.low = elapsed
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/idempotency/budget.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/idempotency/budget.py
@@ -51,7 +51,8 @@
         """
         if not self.has_token():
             raise self.unavailable("too many keys are being claimed")
-        self.spend()
+        self.tokens -= 1.0
+        self.window_writes += 1
 
     def has_token(self):
         """Return whether a deferrable write may be made now."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/answer_headers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/answer_headers.py
@@ -9,7 +9,6 @@
 from functools import lru_cache
 
 from papayabay_daemon._internal.doors.headers import (
-    HEADER_CODEC,
     filter_headers,
     without_field,
 )
@@ -57,7 +56,7 @@
 
         Parameters
         ----------
-        head : AnswerHead
+        head : Head
         keeps_length : bool
             Whether Content-Length is forwarded.
 
@@ -69,12 +68,15 @@
         ------
         ValueError
         """
-        plan = self.plan(head.names)
+        if not head.fields:
+            return []
+        raw_names, raw_values = zip(*head.fields, strict=True)
+        plan = self.plan(raw_names)
         if plan is None:
             return self.filter_one(head, keeps_length)
         # A NUL separates the values, and no value may contain one.
-        text = b"\0".join(head.values).decode(*HEADER_CODEC)
-        values = text.split("\0") if plan.names else []
+        text = b"\0".join(raw_values).decode("utf-8", "surrogateescape")
+        values = text.split("\0")
         if len(values) != len(plan.names) or "\n" in text or "\r" in text:
             raise ValueError("a field has a line break or NUL")
         for position in plan.connection:
--- a/tests/unit/daemon/test_answer_headers.py
+++ b/tests/unit/daemon/test_answer_headers.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from papayabay_core.http.client import AnswerHead
+from papayabay_core.http.heads import Head
 from papayabay_daemon._internal.doors.headers import (
     DEFAULT_NAMES,
     filter_headers,
@@ -64,7 +64,7 @@
                 ]
                 expected = outcome(expected_fields, fields, names)
                 seen.add(expected is ValueError)
-                head = AnswerHead(fields)
+                head = Head(fields)
                 got = outcome(headers.forwarded, head, True)
                 self.assertEqual(got, expected, fields)
                 if expected is not ValueError:
@@ -75,13 +75,13 @@
 
     def test_first_value_of_a_field_counts(self):
         """Guards against a repeated field whose last value is read."""
-        head = AnswerHead([(b"A", b"1"), (b"b", b"2"), (b"a", b"3")])
+        head = Head([(b"A", b"1"), (b"b", b"2"), (b"a", b"3")])
         self.assertEqual(head.first, {b"a": b"1", b"b": b"2"})
-        self.assertEqual(AnswerHead([]).first, {})
+        self.assertEqual(Head([]).first, {})
 
     def test_cache_is_bounded(self):
         """Guards against a target that fills the memory with names."""
         headers = AnswerHeaders(DEFAULT_NAMES)
         for number in range(1_000):
-            headers.forwarded(AnswerHead([(b"x-%d" % number, b"1")]), True)
+            headers.forwarded(Head([(b"x-%d" % number, b"1")]), True)
         self.assertLessEqual(headers.plan.cache_info().currsize, 64)
