Reserve all internal ports of a test's daemons

Cause: a test took one free port as the first internal one, and the daemon opened that and the next two, the third on 127.0.0.1, which nothing had checked. Another test run beside it made the daemon end at its start, in 3 of 24 runs of test_platform_accounts. Change: the test looks for three ports in a row that are free where they are opened; all ports are reserved until all are chosen. Conclusion: a port can still be taken between the choice and the daemon's start, which takes a fraction of a second.

--- a/tests/functional/platform_support.py
+++ b/tests/functional/platform_support.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import unittest
+from contextlib import ExitStack
 from pathlib import Path
 
 import aiohttp
@@ -21,6 +22,9 @@
 """Addresses that only this test run uses: the metrics port is fixed, so two
 runs on one machine would otherwise collide on it."""
 PORTS = ("outbound", "ready", "control", "app", "internal")
+INTERNAL_PORTS = 3
+"""Ports of the internal range that a daemon opens."""
+MAX_RANGE_TRIALS = 100
 BOOT = """
 [self]
 nodeId = "vm-{number}"
@@ -78,11 +82,36 @@
 
 def free_ports(host):
     """Return a free port for each of `PORTS`; `internal` starts a range."""
-    sockets = [socket.create_server((host, 0)) for _ in PORTS]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return dict(zip(PORTS, ports, strict=True))
+    with ExitStack() as stack:
+        internal = reserve_range(stack, host)
+        names = [name for name in PORTS if name != "internal"]
+        return {"internal": internal} | {
+            name: reserve(stack, host, 0).getsockname()[1] for name in names
+        }
+
+
+def reserve(stack, host, port):
+    """Return a socket that keeps a port reserved until the stack is closed."""
+    return stack.enter_context(socket.create_server((host, port)))
+
+
+def reserve_range(stack, host):
+    """Return the first of `INTERNAL_PORTS` free ports in a row.
+
+    The daemon opens the last of them on the loopback address.
+    """
+    for _ in range(MAX_RANGE_TRIALS):
+        with ExitStack() as trial:
+            first = reserve(trial, host, 0).getsockname()[1]
+            try:
+                for port in range(first + 1, first + INTERNAL_PORTS):
+                    reserve(trial, host, port)
+                reserve(trial, "127.0.0.1", first + INTERNAL_PORTS - 1)
+            except (OSError, OverflowError):
+                continue
+            stack.push(trial.pop_all())
+            return first
+    raise OSError(f"no {INTERNAL_PORTS} free ports in a row")
 
 
 class Vm:
