Count the calls of the first runs before any of them has ended

Cause: a path takes over the levels of the services below once 8 of its runs have ended. Change: with decisions.queue_order = "due", the calls of runs in flight count as children until 8 runs have ended; so do the usual calls that a neighbour tells a restarted daemon.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/chains.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/chains.py
@@ -8,11 +8,10 @@
 
 from papayabay_core.calls import MAX_PATH_LEVELS
 from papayabay_core.importance import ADMIT_ALL
+from papayabay_daemon._internal.calls.run_counts import MIN_RUNS
 
 USUAL_CALL_SHARE = 0.5
 """Least share of a path's runs in which a child is called that counts."""
-MIN_RUNS = 8
-"""Runs of a path before its children count."""
 
 
 class ChainModel:
@@ -42,7 +41,7 @@
         levels = [
             (path_key, self.level_below(path_key))
             for path_key, path in self.counts.paths.items()
-            if path.callers
+            if path.callers or path.first_children
         ]
         closed = [entry for entry in levels if entry[1] < ADMIT_ALL]
         closed.sort(key=lambda entry: entry[1])
@@ -53,16 +52,21 @@
 
         Services that fewer runs call are ignored: if a path calls a busy
         service only rarely, refusing all its requests would cost more than
-        it saves.
+        it saves. Before enough runs have ended to tell, each known child
+        counts: a fleet that starts in an overload would otherwise pass on what
+        is refused below for as long as a whole request takes.
         """
         path = self.counts.paths.get(path_key)
-        if path is None or path.runs < MIN_RUNS:
+        if path is None:
             return ADMIT_ALL
-        min_count = USUAL_CALL_SHARE * path.runs
+        children = path.first_children
+        if path.runs >= MIN_RUNS:
+            min_count = USUAL_CALL_SHARE * path.runs
+            children = [
+                child for child, count in path.callers.items() if count >= min_count
+            ]
         levels = (
-            self.router.path_level(service_of(child), child)
-            for child, count in path.callers.items()
-            if count >= min_count
+            self.router.path_level(service_of(child), child) for child in children
         )
         return min(levels, default=ADMIT_ALL)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -371,6 +371,7 @@
         if self.components.policy().decisions.queue_order == "due":
             slack = self.tree.slack
             slack.begin_call(live, call, now())
+            self.tree.run_counts.call_started(live.call.path_key, rule.path_key)
         try:
             answer = await self.tree.run_while_live(
                 live, self.run(call, rule, live.account)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_counts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_counts.py
@@ -5,6 +5,8 @@
 
 from papayabay_core.calls import SERVER_ERROR
 
+MIN_RUNS = 8
+"""Runs of a path before the share of its runs that call a child counts."""
 DECAY_RUNS = 256
 """Runs of a path after which its counts are halved, so that calls which it no
 longer makes lose their weight."""
@@ -28,12 +30,16 @@
         Runs without a failure.
     calls : dict of str to int
         By child path, the calls that the complete runs made.
+    first_children : set of str
+        Child paths known before `MIN_RUNS` runs have ended: those that a run
+        in flight has called, and the usual ones of a peer.
     """
 
     runs: int = 0
     callers: dict[str, int] = field(default_factory=dict)
     complete_runs: int = 0
     calls: dict[str, int] = field(default_factory=dict)
+    first_children: set[str] = field(default_factory=set)
 
     def mean_calls(self):
         """Yield each child path with its mean number of calls in a run."""
@@ -54,6 +60,27 @@
     def __init__(self):
         self.paths = {}
 
+    def call_started(self, path_key, child):
+        """Record a call of a run in flight, until enough runs have ended.
+
+        Parameters
+        ----------
+        path_key, child : str
+            Paths of the run and of its call.
+        """
+        path = self.find(path_key)
+        if path is None or path.runs >= MIN_RUNS:
+            return
+        if len(path.first_children) < MAX_CHILDREN:
+            path.first_children.add(child)
+
+    def find(self, path_key):
+        """Return a path's runs; None for a new one beyond `MAX_PATHS`."""
+        path = self.paths.get(path_key)
+        if path is None and len(self.paths) < MAX_PATHS:
+            path = self.paths[path_key] = PathRuns()
+        return path
+
     def run_ended(self, live, answer):
         """Count the run of a call that the target has answered.
 
@@ -79,11 +106,9 @@
             Number of calls by child path.
         is_complete : bool
         """
-        path = self.paths.get(path_key)
+        path = self.find(path_key)
         if path is None:
-            if len(self.paths) >= MAX_PATHS:
-                return
-            path = self.paths[path_key] = PathRuns()
+            return
         path.runs += 1
         path.complete_runs += is_complete
         if called:
@@ -109,14 +134,13 @@
 
     def adopt(self, path_key, runs, calls):
         """Take over a peer's counts of a path without calls here so far."""
-        path = self.paths.get(path_key)
-        if path is None:
-            if len(self.paths) >= MAX_PATHS:
-                return
-            path = self.paths[path_key] = PathRuns()
-        if not path.calls:
-            path.complete_runs = runs
-            path.calls = dict(islice(calls.items(), MAX_CHILDREN))
+        path = self.find(path_key)
+        if path is None or path.calls:
+            return
+        path.complete_runs = runs
+        path.calls = dict(islice(calls.items(), MAX_CHILDREN))
+        usual = (child for child, count in path.calls.items() if 2 * count >= runs)
+        path.first_children.update(usual)
 
 
 def halved(counts):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/tree.py
@@ -8,6 +8,7 @@
 
 from papayabay_core.calls import Call
 from papayabay_core.errors import CallError, ErrorKind
+from papayabay_daemon._internal.calls.run_counts import RunCounts
 from papayabay_daemon._internal.calls.slack import RunSteps, SlackModel
 from papayabay_daemon._internal.retries import CreditAccount, RetryDetector
 
@@ -75,9 +76,12 @@
         Whether any outgoing call has named its parent call so far.
     slack : SlackModel
         Due times of outgoing calls.
+    run_counts : RunCounts
+        Counts of the runs that have ended, and of their outgoing calls.
     """
 
-    def __init__(self):
+    def __init__(self, run_counts=None):
+        self.run_counts = run_counts or RunCounts()
         self.live = {}
         self.tokens = {}
         self.parents_named = False
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -203,8 +203,8 @@
             counters=CallCounters(),
             demand_reports=self.demand_reports,
         )
-        self.call_tree = CallTree()
         run_counts = RunCounts()
+        self.call_tree = CallTree(run_counts)
         chains = ChainModel(self.router, run_counts)
         self.admission.set_downstream_source(chains.closed_paths)
         self.work = WorkModel(self.router, self.policy, run_counts)
--- a/tests/unit/daemon/test_calls_chains.py
+++ b/tests/unit/daemon/test_calls_chains.py
@@ -45,6 +45,31 @@
         self.run_path(1, STOCK)
         self.assertEqual(self.level(), 500)
 
+    def test_calls_of_the_first_runs_count_before_any_has_ended(self):
+        """Guards against seconds of overload below a fleet that has started.
+
+        A run takes up to a second. Until 8 of them had ended, no path took
+        over the level of the services below, and whole trees were begun that
+        were refused there.
+        """
+        self.counts.call_started(PATH, STOCK)
+        self.assertEqual(self.level(), 500)
+        self.assertEqual(self.model.closed_paths(), {PATH: 500})
+
+    def test_usual_calls_of_a_peer_count_before_any_run_has_ended(self):
+        """Guards against a restarted daemon that admits what is refused."""
+        self.counts.adopt(PATH, 8, {STOCK: 4, PRICES: 3})
+        self.assertEqual(self.level(), 500)
+
+    def test_rare_call_of_the_first_runs_does_not_count_for_long(self):
+        self.counts.call_started(PATH, PRICES)
+        self.run_path(chains.MIN_RUNS - 1, STOCK)
+        self.assertEqual(self.level(), 70)
+        self.run_path(1, STOCK)
+        self.assertEqual(self.level(), 500)
+        self.counts.call_started(PATH, PRICES)
+        self.assertEqual(self.level(), 500)
+
     def test_lowest_level_of_the_usual_children_counts(self):
         self.run_path(10, STOCK, PRICES)
         self.assertEqual(self.level(), 70)
