Make calls and answers msgspec structs from positional values

Cause: a daemon makes a call, an answer, two bodies, a load state and two frames for each call. The initializers of data classes run in Python, and a frame made from 24 keywords takes 1.7 us, where one from positional values takes 0.3 us. Change: `Body`, `Call` and `Answer` are structs as `LoadState` is already; the frames and what is decoded from them are made from positional values, and an attempt is copied in C (0.24 instead of 0.89 us). All 815 tests of tests.unit.daemon, tests.unit.core and tests.unit.platform pass.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -1,18 +1,20 @@
-"""Calls, their answers and the load reports that daemons exchange."""
+"""Calls, their answers and the load reports that daemons exchange.
+
+They are `msgspec` structs and not data classes, as several are made for each
+call at each daemon: a struct is made in a quarter of the time if its values
+are positional, and copied in a quarter of the time.
+"""
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field, fields
-from operator import attrgetter
 
-import msgspec
+from msgspec import Struct, field
 
 from papayabay_core.errors import Effect, ErrorKind
 from papayabay_core.importance import ADMIT_ALL, RANK_BITS, Importance
 from papayabay_core.utils.clock import now
 
 
-@dataclass(slots=True)
-class Body:
+class Body(Struct):
     """A message body, complete in memory or streamed.
 
     Attributes
@@ -33,8 +35,7 @@
         return self.rest is None
 
 
-@dataclass(slots=True)
-class Call:
+class Call(Struct):
     """One call of one request, as seen by the daemon that handles it.
 
     Attributes
@@ -138,17 +139,15 @@
     def for_attempt(self, attempt_credits, repeated):
         """Return a copy that differs in credits and in `repeated`.
 
-        Nearly every call of a target needs one, and `dataclasses.replace`
-        takes as long as choosing an upstream.
+        Nearly every call of a target needs one, and `structs.replace` takes
+        several times as long.
         """
-        attempt = Call(*read_call_fields(self))
+        attempt = self.__copy__()
         attempt.credits = attempt_credits
         attempt.repeated = repeated
         return attempt
 
 
-read_call_fields = attrgetter(*(one.name for one in fields(Call)))
-
 SERVER_ERROR = 500
 """Lowest HTTP status that reports a failure of the server."""
 MAX_PATH_LEVELS = 16
@@ -157,7 +156,7 @@
 """Most services in `LoadState.work_ms`; the largest amounts are kept."""
 
 
-class LoadState(msgspec.Struct, array_like=True):
+class LoadState(Struct, array_like=True):
     """Load of one target, reported by its daemon with each answer.
 
     It is part of an answer's frame between daemons, without a copy into
@@ -199,8 +198,7 @@
     slowdown: float = 1.0
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(Struct):
     """The result of a call: a target's answer or an error kind.
 
     Attributes
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/idempotency/answers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/idempotency/answers.py
@@ -3,7 +3,8 @@
 import base64
 import binascii
 import json
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from papayabay_core.calls import Answer, Body
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/call_frames.py
@@ -219,33 +219,32 @@
         if not -MAX_DUE_MS <= due_ms <= MAX_DUE_MS:
             due_ms = MAX_DUE_MS if due_ms > 0 else -MAX_DUE_MS
     rest_ms = int(call.rest_s * 1_000)
+    # Positional, as keywords take five times as long.
     frame = CallFrame(
-        id=number,
-        request_id=call.request_id,
-        service=call.service,
-        method=call.method,
-        path=call.path,
-        path_key=call.path_key,
-        idempotency_key=call.idempotency_key,
-        remaining_ms=(
-            remaining_ms if remaining_ms < MAX_REMAINING_MS else MAX_REMAINING_MS
-        ),
-        sent_at_us=stamp_us,
-        importance=int(call.importance),
-        rank=call.rank,
-        depth=call.depth,
-        credits=call.credits,
-        idempotent=call.idempotent,
-        repeated=call.repeated,
-        headers=pack_headers(call.headers),
-        body=first,
-        last=last,
-        purpose=purpose,
-        declared=None if call.declared_class is None else int(call.declared_class),
-        account=call.account,
-        due_ms=due_ms,
-        order=call.path_class,
-        rest_ms=rest_ms if rest_ms < MAX_REMAINING_MS else MAX_REMAINING_MS,
+        number,
+        call.request_id,
+        call.service,
+        call.method,
+        call.path,
+        call.path_key,
+        call.idempotency_key,
+        remaining_ms if remaining_ms < MAX_REMAINING_MS else MAX_REMAINING_MS,
+        stamp_us,
+        int(call.importance),
+        call.rank,
+        call.depth,
+        call.credits,
+        call.idempotent,
+        call.repeated,
+        pack_headers(call.headers),
+        first,
+        last,
+        purpose,
+        None if call.declared_class is None else int(call.declared_class),
+        call.account,
+        due_ms,
+        call.path_class,
+        rest_ms if rest_ms < MAX_REMAINING_MS else MAX_REMAINING_MS,
     )
     try:
         return encode(frame)
@@ -271,29 +270,33 @@
     due_at = None
     if frame.due_ms is not None:
         due_at = sent_at + frame.due_ms / 1_000
+    declared, order = frame.declared, frame.order
+    # Positional, as keywords take five times as long.
     return Call(
-        request_id=frame.request_id,
-        service=frame.service,
-        method=frame.method,
-        path=frame.path,
-        headers=unpack_headers(frame.headers),
-        body=Body(frame.body),
-        importance=IMPORTANCES[frame.importance],
-        rank=frame.rank,
-        depth=frame.depth,
-        expires_at=sent_at + frame.remaining_ms / 1_000,
-        credits=frame.credits,
-        idempotent=frame.idempotent,
-        idempotency_key=frame.idempotency_key,
-        path_key=frame.path_key,
-        repeated=frame.repeated,
-        declared_class=None if frame.declared is None else IMPORTANCES[frame.declared],
-        account=frame.account,
-        due_at=due_at,
+        frame.request_id,
+        frame.service,
+        frame.method,
+        frame.path,
+        unpack_headers(frame.headers),
+        Body(frame.body),
+        IMPORTANCES[frame.importance],
+        frame.rank,
+        frame.depth,
+        sent_at + frame.remaining_ms / 1_000,
+        frame.credits,
+        frame.idempotent,
+        frame.idempotency_key,
+        frame.path_key,
+        0,
+        frame.repeated,
+        None if declared is None else IMPORTANCES[declared],
+        frame.account,
+        "",
+        due_at,
         # Older peers send no path class. With 0 their calls would go before
         # all calls of newer peers in the same class.
-        path_class=frame.importance if frame.order is None else frame.order,
-        rest_s=frame.rest_ms / 1_000,
+        frame.importance if order is None else order,
+        frame.rest_ms / 1_000,
     )
 
 
@@ -309,23 +312,24 @@
         See `Confirmations.own_confirmation`.
     """
     version, age_ms = confirmation or (0, None)
+    kind = answer.kind
     return encode(
         AnswerFrame(
-            id=number,
-            status=answer.status,
-            kind=0 if answer.kind is None else int(answer.kind),
+            number,
+            answer.status,
+            0 if kind is None else int(kind),
             # No dict, as an `Enum` computes its hash in Python.
-            effect=EFFECTS.index(answer.effect),
-            retry_after_ms=answer.retry_after_ms,
-            credits_left=answer.credits_left,
-            exhausted=answer.exhausted,
-            load=answer.load,
-            detail=answer.detail,
-            headers=pack_headers(answer.headers),
-            body=first,
-            last=last,
-            confirmed_version=version,
-            confirmed_age_ms=age_ms,
+            EFFECTS.index(answer.effect),
+            answer.retry_after_ms,
+            answer.credits_left,
+            answer.exhausted,
+            answer.load,
+            answer.detail,
+            pack_headers(answer.headers),
+            first,
+            last,
+            version,
+            age_ms,
         )
     )
 
@@ -355,14 +359,14 @@
     if frame.load is not None:
         check_load(frame.load)
     return Answer(
-        status=frame.status,
-        headers=unpack_headers(frame.headers),
-        body=Body(frame.body),
-        kind=ERROR_KINDS[kind] if kind else None,
-        effect=EFFECTS[frame.effect],
-        retry_after_ms=frame.retry_after_ms,
-        credits_left=frame.credits_left,
-        exhausted=frame.exhausted,
-        load=frame.load,
-        detail=frame.detail,
+        frame.status,
+        unpack_headers(frame.headers),
+        Body(frame.body),
+        ERROR_KINDS[kind] if kind else None,
+        EFFECTS[frame.effect],
+        frame.retry_after_ms,
+        frame.credits_left,
+        frame.load,
+        frame.exhausted,
+        frame.detail,
     )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
@@ -19,7 +19,6 @@
     BodyReader,
     BodyReceiver,
     BodySender,
-    inline_part,
     remaining_parts,
 )
 
@@ -170,7 +169,10 @@
             the frame contains the whole body.
         """
         link = self.link
-        first, last = inline_part(answer.body, self.inline_bytes)
+        body = answer.body
+        first, last = body.first, body.rest is None
+        if len(first) > self.inline_bytes:
+            first, last = first[: self.inline_bytes], False
         try:
             confirmation = link.owner.confirmations.own_confirmation()
             frame = encode_answer(number, answer, first, last, confirmation)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
@@ -18,7 +18,6 @@
     BodyReader,
     BodyReceiver,
     BodySender,
-    inline_part,
     remaining_parts,
 )
 
@@ -109,7 +108,10 @@
         if remaining <= 0.0:
             raise CallError(ErrorKind.EXPIRED_UNSENT)
         self.last_number = number = self.last_number + 1
-        first, last = inline_part(call.body, self.inline_bytes)
+        body = call.body
+        first, last = body.first, body.rest is None
+        if len(first) > self.inline_bytes:
+            first, last = first[: self.inline_bytes], False
         stamp_us = int(sent_at * 1_000_000)
         frame = encode_call(number, call, first, last, stamp_us, purpose)
         if len(frame) > MAX_FRAME_BYTES:
@@ -127,7 +129,7 @@
         link.used = link.stamped = True
         link.counters.calls_sent += 1
         if not last:
-            self.start_sending(number, entry, call.body, len(first))
+            self.start_sending(number, entry, body, len(first))
         try:
             return await future
         except asyncio.CancelledError:
--- a/tests/unit/daemon/test_calls_slack.py
+++ b/tests/unit/daemon/test_calls_slack.py
@@ -7,6 +7,7 @@
 from unittest.mock import Mock
 
 import msgspec
+from msgspec import structs
 
 from papayabay_core.calls import Answer
 from papayabay_core.importance import Importance
@@ -85,7 +86,9 @@
         call, _ = self.enter()
         self.assertEqual((call.importance, call.path_class), (1, 2))
         self.assertEqual(self.enter(kept_share=1.0)[0].path_class, 0)
-        frame = call_frames.encode_call(1, replace(call, rest_s=0.2), b"", True, 0, 0)
+        frame = call_frames.encode_call(
+            1, structs.replace(call, rest_s=0.2), b"", True, 0, 0
+        )
         sent = call_frames.decode_call(call_frames.read_call_frame(frame), 0.0)
         self.assertEqual((sent.path_class, sent.rest_s), (2, 0.2))
 
--- a/tests/unit/daemon/test_return_times.py
+++ b/tests/unit/daemon/test_return_times.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import unittest
-from dataclasses import replace
 from types import SimpleNamespace
 
+from msgspec.structs import replace
+
 from papayabay_core.calls import Answer, Body
 from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_core.importance import RANKS, Importance
