Share the router's state of an attempt and its records in fewer steps

Cause: `explain` and `started` looked up the same upstream twice for each attempt; a healthy upstream's latency was extrapolated although the measured one is within the limit; averages of work were rebuilt by lists; the records of calls in flight were data classes; the daemons that share a retry budget were asked for at each call, and counted once a second. Change: `Router.started` returns what `explain` did; the extrapolation is left out where it can't change the result; the usual answer, which names the same services, updates the averages in place, on a copy of the reported ones; the records are structs; the next count has a time. Bytes that are one whole frame are returned without a generator.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -108,9 +108,7 @@
             attempt = call.for_attempt(attempt_credits, repeated)
         components.counters.attempts += 1
         router, log = components.router, components.log
-        # Read before the attempt, which changes the router's state.
-        explanation = router.explain(member, call) if log.enabled else None
-        router.started(member, call)
+        explanation = router.started(member, call, log.enabled)
         started = now()
         answer = None
         try:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/decision_log.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/decision_log.py
@@ -24,18 +24,19 @@
         writer.
     clock : callable
         Returns seconds.
+
+    Attributes
+    ----------
+    enabled : bool
+        Whether lines are written; if not, no inputs need be collected.
     """
 
     def __init__(self, writer=None, version=None, clock=now):
         self.writer = writer
+        self.enabled = writer is not None
         self.version = version
         self.rate_limit = LineRateLimit(clock)
 
-    @property
-    def enabled(self):
-        """Whether lines are written; if not, no inputs need be collected."""
-        return self.writer is not None
-
     def acquire(self):
         """Return whether a line is to be written; if so, it must be written.
 
@@ -99,7 +100,7 @@
         number : int
             Number of the attempt, from 1.
         upstream : dict or None
-            What was known of the chosen upstream; see `Router.explain`.
+            What was known of the chosen upstream; see `Router.started`.
         answer : Answer or None
             None when the attempt was cancelled.
         elapsed : float
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -201,11 +201,12 @@
         The result is not to be changed.
         """
 
-    def explain(self, member: Member, call: Call) -> dict:
-        """Return what is known of an upstream, for the decision log."""
+    def started(self, member: Member, call: Call, explain: bool) -> dict | None:
+        """Record that an attempt is sent.
 
-    def started(self, member: Member, call: Call) -> None:
-        """Record that an attempt was sent."""
+        With `explain`, return what is known of the upstream before the
+        attempt, for the decision log.
+        """
 
     def ended(
         self, member: Member, call: Call, answer: Answer | None, elapsed: float
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/framing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/framing.py
@@ -33,11 +33,9 @@
         self.awaited_bytes = 0
 
     def split(self, data):
-        """Yield the frames that received bytes complete.
+        """Return the frames that received bytes complete, as an iterable.
 
-        Usually the bytes are whole frames and are not copied into the buffer.
-        The limit is read for each frame, as a frame of the handshake raises
-        it for those that follow in the same bytes.
+        To be iterated to its end; see `split_all`.
 
         Parameters
         ----------
@@ -49,6 +47,22 @@
             A length is 0 or above the limit. Without the limit, a corrupted
             length would make the reader wait for up to 4 GiB that never come.
         """
+        # Usually the bytes are one whole frame.
+        length = len(data) - PREFIX_BYTES
+        if (
+            0 < length <= self.max_bytes
+            and not self.buffer
+            and read_length(data)[0] == length
+        ):
+            return (data[PREFIX_BYTES:],)
+        return self.split_all(data)
+
+    def split_all(self, data):
+        """Yield the frames that received bytes complete; keep the rest.
+
+        The limit is read for each frame, as a frame of the handshake raises
+        it for those that follow in the same bytes.
+        """
         if self.buffer:
             self.buffer += data
             if len(self.buffer) < self.awaited_bytes:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
@@ -1,7 +1,8 @@
 """Handles the calls and control requests received on one link."""
 
 import asyncio
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
@@ -30,8 +31,7 @@
     """Do nothing when a call's body ends; the call continues."""
 
 
-@dataclass(slots=True)
-class IncomingCall:
+class IncomingCall(Struct):
     """A call that is being answered.
 
     Attributes
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
@@ -1,9 +1,10 @@
 """Sends calls and control requests on one link and awaits their answers."""
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
 
+from msgspec import Struct
+
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
 from papayabay_core.utils.clock import now
@@ -31,8 +32,7 @@
     return CallError(ErrorKind.LINK_UNAVAILABLE, detail)
 
 
-@dataclass(slots=True)
-class OutgoingCall:
+class OutgoingCall(Struct):
     """A call that was sent and is still in flight.
 
     Attributes
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/arrivals.py
@@ -88,7 +88,8 @@
             return None
         # Updated for first attempts too: a daemon that leaves before the next
         # retry may already have spent its share.
-        self.sharers.update(call.service, window.window_s)
+        if self.clock() > self.sharers.next_at:
+            self.sharers.update(call.service, window.window_s)
         if not call.repeated:
             return window
         # While there is a level, it bounds the rate of the retries below it.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -1,7 +1,9 @@
 """Decides whether a failed attempt is retried, and after what backoff."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from msgspec import Struct, field
 
 from papayabay_core.calls import SERVER_ERROR, Answer
 from papayabay_core.errors import ERROR_ANSWERS, Effect, ErrorKind
@@ -38,10 +40,11 @@
 the first to arrive, and does not count as a retry at its service."""
 
 
-@dataclass(slots=True)
-class Attempts:
+class Attempts(Struct):
     """The attempts made for one call so far.
 
+    A struct is made in a third of the time of a data class.
+
     Attributes
     ----------
     made : int
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/ratio.py
@@ -59,8 +59,10 @@
         earned = self.earned[service]
         if earned is None:
             return
-        bucket = self.bucket(service)
-        bucket.tokens = min(max(BURST_TOKENS, bucket.tokens), bucket.tokens + earned)
+        bucket = self.buckets.get(service) or self.bucket(service)
+        tokens = bucket.tokens
+        if tokens < BURST_TOKENS:
+            bucket.tokens = min(BURST_TOKENS, tokens + earned)
 
     def read_policy(self, policy, service):
         """Read what a service's first attempts earn under a policy."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/path_work.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/path_work.py
@@ -38,7 +38,8 @@
 
     def replace(self, services, at):
         """Take over reported figures as they are."""
-        self.services = services
+        # A copy, as the averages are updated in place.
+        self.services = dict(services)
         self.total = sum(services.values())
         self.updated_at = at
 
@@ -49,6 +50,25 @@
             self.replace(reported, at)
             return
         services = self.services
+        total = 0.0
+        if services.keys() == reported.keys():
+            # Nearly all answers of a path name the same services.
+            for service, amount in reported.items():
+                average = services[service]
+                average += weight * (amount - average)
+                if average < MIN_WORK_MS:
+                    del services[service]
+                    continue
+                services[service] = average
+                total += average
+        else:
+            total = self.update_services(reported, weight)
+        self.total = total
+        self.updated_at = at
+
+    def update_services(self, reported, weight):
+        """Update the averages of changed services; return their sum."""
+        services = self.services
         for service in reported:
             if service not in services and len(services) < MAX_WORK_SERVICES:
                 services[service] = 0.0
@@ -58,8 +78,7 @@
                 del services[service]
             else:
                 services[service] = average
-        self.total = sum(services.values())
-        self.updated_at = at
+        return sum(services.values())
 
 
 class PathWork:
@@ -121,6 +140,11 @@
 
     NaN and infinity can be sent as floats, and would stay in an average.
     """
+    for amount in reported.values():
+        if not 0.0 < amount <= MAX_WORK_MS:
+            break
+    else:
+        return reported
     return {
         service: amount
         for service, amount in reported.items()
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -174,12 +174,28 @@
             if state is not None:
                 state.link_unresponsive = unresponsive
 
-    def started(self, member, call):
-        """Record that an attempt was sent."""
+    def started(self, member, call, explain=False):
+        """Record that an attempt is sent.
+
+        Parameters
+        ----------
+        member : Member
+        call : Call
+        explain : bool
+
+        Returns
+        -------
+        dict or None
+            With `explain`, the state of the chosen upstream before the
+            attempt, for the decision log.
+        """
         pool = self.pools.get(call.service)
         state = pool.states.get(member.name) if pool is not None else None
-        if state is not None:
-            state.in_flight += 1
+        if state is None:
+            return {"name": member.name} if explain else None
+        explanation = self.explain(member, call, state) if explain else None
+        state.in_flight += 1
+        return explanation
 
     def ended(self, member, call, answer, elapsed):
         """Record an attempt's end, once for each `started`.
@@ -230,12 +246,8 @@
         pool = self.pools.get(service)
         return pool.work.services(path_key, self.clock()) if pool is not None else {}
 
-    def explain(self, member, call):
+    def explain(self, member, call, state):
         """Return the state of a chosen upstream for the decision log."""
-        pool = self.pools.get(call.service)
-        state = pool.states.get(member.name) if pool is not None else None
-        if state is None:
-            return {"name": member.name}
         at = self.clock()
         heard_ms = None
         if state.load is not None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/upstream.py
@@ -134,13 +134,18 @@
             Average latency of the service, seconds.
         at : float
         """
-        return (
+        if not (
             self.is_available(at)
             and not (self.ejection.points and self.ejection.penalty(at))
             and (not self.error_rate or self.error_penalty(at) < HEALTHY_ERROR_PENALTY)
-            and self.expected_latency(mean_latency, at)
-            <= MAX_HEALTHY_LATENCY_RATIO * mean_latency
-        )
+        ):
+            return False
+        max_latency = MAX_HEALTHY_LATENCY_RATIO * mean_latency
+        # The expected latency is between the measured one and the guess, which
+        # is below the limit; so most upstreams need no calculation.
+        if self.latency <= max_latency and mean_latency >= MIN_LATENCY_SECONDS:
+            return True
+        return self.expected_latency(mean_latency, at) <= max_latency
 
     def mark_leaving(self, at):
         """Record that it answered that it is leaving.
--- a/tests/unit/daemon/test_dispatch_doubt.py
+++ b/tests/unit/daemon/test_dispatch_doubt.py
@@ -29,12 +29,9 @@
             raise CallError(ErrorKind.NO_UPSTREAM)
         return SimpleNamespace(name=name)
 
-    def explain(self, member, call):
+    def started(self, member, call, explain):
         return {"name": member.name}
 
-    def started(self, member, call):
-        pass
-
     def ended(self, member, call, answer, elapsed):
         pass
 
