Refuse a new request for the services below by one comparison

Cause: the level that the services below admit on a path is the same for all upstreams of a service, but it was compared for each of them: at a pair of the own failure domain, at a pair of all, and at all that are available. Change: a strategy is asked first whether it refuses a call whatever the upstream. If so, one available upstream decides between the two refusals. Available upstreams are yielded instead of listed.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
@@ -89,26 +89,24 @@
             level = min(level, self.path_levels.get(path_key, ADMIT_ALL))
         return self.relaxed(level, at) if is_stale else level
 
-    def refuses_new(self, call, level, at):
-        """Return whether the upstream is expected to refuse a new request.
+    def refuses_new(self, level, at):
+        """Return whether the upstream itself is expected to refuse a request.
 
         Unlike `refuses`, it also holds back critical requests for as long as
         a level is known: an overload by critical requests alone ends only if
-        their entries refuse a part of them.
+        their entries refuse a part of them. The services below are covered by
+        `path_level`, once for all upstreams.
         """
         # A relaxed level is never below the reported one, so most calls need
         # the comparison with the reported one only.
-        service = self.service_hints or self
-        if service.path_levels and level > service.path_level(call.path_key, at):
-            return True
         return level > self.own_level and level > self.relaxed(self.own_level, at)
 
     def path_level(self, path_key, at):
         """Return the level that the services below admit on a path.
 
-        All upstreams of a service call the same services below. Each one's
-        figure is late or early by chance, and if any of them sufficed, the
-        highest would decide.
+        Asked of the hints of a whole service: all its upstreams call the same
+        services below. Each one's figure is late or early by chance, and if
+        any of them sufficed, the highest would decide.
         """
         return self.relaxed(self.path_levels.get(path_key, ADMIT_ALL), at)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
@@ -11,8 +11,15 @@
 class Strategy(Protocol):
     """Picks one of a pool's upstreams."""
 
+    def refuses_all(self, pool: Pool, call: Call, level: int, at: float) -> bool:
+        """Return whether the call is refused whatever the upstream.
+
+        Asked first if the pool's hints have levels of paths; the other methods
+        are for calls that are not refused.
+        """
+
     def pick_fast(
-        self, pool: Pool, call: Call, excluded: Collection[str], at: float
+        self, pool: Pool, call: Call, level: int, excluded: Collection[str], at: float
     ) -> Upstream | None:
         """Return an upstream without checking all of them, or None."""
 
@@ -39,13 +46,12 @@
         self.random = random
         self.upstream_refusal = upstream_refusal
 
-    def pick_fast(self, pool, call, excluded, at):
+    def pick_fast(self, pool, call, level, excluded, at):
         """Return the better of two random upstreams if both are eligible.
 
         Otherwise `pick` has to choose among all that are. A pair that is drawn
         here is distributed like one drawn by `pick`, so this only saves time.
         """
-        level = call.level
         if pool.own_domain:
             preferred = self.pick_own_domain(pool, call, level, excluded, at)
             if preferred is not None:
@@ -133,6 +139,10 @@
         other_score = other.score(pool.mean_latency, use_latency, at)
         return one if one_score <= other_score else other
 
+    def refuses_all(self, pool, call, level, at):
+        """Return False: each upstream's levels decide."""
+        return False
+
     def accepts(self, upstream, call, level, at):
         """Return whether the upstream is not expected to refuse the call."""
         if not self.upstream_refusal:
@@ -149,11 +159,17 @@
 
     __slots__ = ()
 
+    def refuses_all(self, pool, call, level, at):
+        """Return whether the services below refuse a new request.
+
+        All upstreams of a service call the same services below, so that in an
+        overload of these one comparison takes the place of one per upstream.
+        """
+        return not call.depth and level > pool.hints.path_level(call.path_key, at)
+
     def accepts(self, upstream, call, level, at):
         """Return whether the call may be sent to the upstream."""
-        if call.depth or not self.upstream_refusal:
-            return True
-        return not upstream.hints.refuses_new(call, level, at)
+        return bool(call.depth) or not upstream.hints.refuses_new(level, at)
 
 
 class RoundRobin:
@@ -161,7 +177,7 @@
 
     __slots__ = ()
 
-    def pick_fast(self, pool, call, excluded, at):
+    def pick_fast(self, pool, call, level, excluded, at):
         """Return None: `pick` iterates over the available upstreams."""
         return None
 
@@ -170,6 +186,10 @@
         pool.turn += 1
         return upstreams[pool.turn % len(upstreams)]
 
+    def refuses_all(self, pool, call, level, at):
+        """Return False: only the callee refuses calls."""
+        return False
+
     def accepts(self, upstream, call, level, at):
         """Return True: only the callee refuses calls."""
         return True
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -85,21 +85,22 @@
         strategy = self.strategy
         pool = self.pool(call.service, policy)
         at = self.clock()
-        picked = strategy.pick_fast(pool, call, excluded, at)
-        if picked is not None:
-            return picked.member
+        level = call.level
         available = self.available(pool, excluded, at)
-        if not available:
+        if pool.hints.path_levels and strategy.refuses_all(pool, call, level, at):
+            first = next(available, None)
+        else:
+            picked = strategy.pick_fast(pool, call, level, excluded, at)
+            if picked is not None:
+                return picked.member
+            found = list(available)
+            accepting = [one for one in found if strategy.accepts(one, call, level, at)]
+            if accepting:
+                return strategy.pick(pool, accepting, at).member
+            first = found[0] if found else None
+        if first is None:
             self.counters["no_upstream"] += 1
             raise CallError(ErrorKind.NO_UPSTREAM, call.service)
-        level = call.level
-        accepting = [
-            upstream
-            for upstream in available
-            if strategy.accepts(upstream, call, level, at)
-        ]
-        if accepting:
-            return strategy.pick(pool, accepting, at).member
         self.counters["refused_early"] += 1
         raise CallError(
             ErrorKind.OVERLOADED,
@@ -110,7 +111,7 @@
     def retry_after_ms(self, call):
         """Return the retry delay, with jitter to spread the callers."""
         base = RETRY_AFTER_MS[call.importance]
-        return int(base * self.random.uniform(0.5, 1.5))
+        return int(base * (0.5 + self.random.random()))
 
     def check(self, call):
         """Refuse a call that `choose` would refuse now.
@@ -127,26 +128,29 @@
         policy = self.policy_source()
         if policy is not self.policy:
             self.apply_policy(policy)
-        strategy = self.strategy
         pool = self.pool(call.service, policy)
         at = self.clock()
+        strategy = self.strategy
         level = call.level
+        if pool.hints.path_levels and strategy.refuses_all(pool, call, level, at):
+            return False
         return any(
             strategy.accepts(upstream, call, level, at)
             for upstream in self.available(pool, excluded, at)
         )
 
     def available(self, pool, excluded, at):
-        """Return available upstreams, of the subset or else of the reserve."""
-        return [
-            upstream
-            for upstream in pool.subset
-            if upstream.is_available(at) and upstream.member.name not in excluded
-        ] or [
-            upstream
-            for upstream in pool.reserve
-            if upstream.is_available(at) and upstream.member.name not in excluded
-        ]
+        """Yield available upstreams, of the subset or else of the reserve."""
+        is_any = False
+        for upstream in pool.subset:
+            if upstream.is_available(at) and upstream.member.name not in excluded:
+                is_any = True
+                yield upstream
+        if is_any:
+            return
+        for upstream in pool.reserve:
+            if upstream.is_available(at) and upstream.member.name not in excluded:
+                yield upstream
 
     def pool(self, service, policy):
         """Return a service's pool, refreshed with membership and policy."""
