Keep members of enums that each request reads as constants

Cause: the priority of a request read `Importance.CRITICAL` from its class, and each call at a target made an ordered dictionary for outgoing calls that the targets of many services never make. Change: the two are constants of their modules; the dictionary is made with the first outgoing call. All 951 tests of tests.unit pass.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/repeats.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/repeats.py
@@ -35,13 +35,19 @@
     ----------
     account : CreditAccount
         Of the parent call.
+
+    Attributes
+    ----------
+    seen : OrderedDict or None
+        Hashes of the outgoing calls; None until the first, as the targets of
+        many services make none.
     """
 
     __slots__ = ("account", "seen")
 
     def __init__(self, account):
         self.account = account
-        self.seen = OrderedDict()
+        self.seen = None
 
     def record(self, service, method, path, body_digest):
         """Record an outgoing call, and debit it if it is a retry.
@@ -58,13 +64,16 @@
             RETRIES_SPENT for a retry if the balance is 0.
         """
         fingerprint = hash((service, method, path, body_digest))
-        if fingerprint in self.seen:
-            self.seen.move_to_end(fingerprint)
+        seen = self.seen
+        if seen is None:
+            seen = self.seen = OrderedDict()
+        if fingerprint in seen:
+            seen.move_to_end(fingerprint)
             debit(self.account, "the target repeated an outgoing call")
             return
-        self.seen[fingerprint] = None
-        if len(self.seen) > MAX_CALLS:
-            self.seen.popitem(last=False)
+        seen[fingerprint] = None
+        if len(seen) > MAX_CALLS:
+            seen.popitem(last=False)
 
 
 @dataclass(slots=True)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/window.py
@@ -6,6 +6,7 @@
 
 from papayabay_core.importance import Importance
 
+CRITICAL = Importance.CRITICAL
 SLICES = 20
 """Slices per window. A window may begin anywhere in its first slice, which is
 counted as a whole: retries may count for too long, but not too short."""
@@ -131,7 +132,7 @@
         """Release a pending retry that won't reach the target."""
         self.pending -= 1
 
-    def try_reserve(self, retries, sharers, importance=Importance.CRITICAL, paced=True):
+    def try_reserve(self, retries, sharers, importance=CRITICAL, paced=True):
         """Reserve a retry; return False if the budget is exhausted.
 
         A reserved retry is pending until it is recorded or released.
@@ -153,7 +154,7 @@
         if min(share * allowed - used for used, allowed, _ in windows) < 1.0:
             return False
         _, allowed, _ = windows[-1]
-        paced &= importance is not Importance.CRITICAL
+        paced &= importance is not CRITICAL
         if paced and self.exceeds_pace(allowed):
             return False
         self.pending += 1
