--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -101,16 +101,14 @@
         """
         components = self.components
         attempt_credits = account.grant()
-        # A copy takes 5 us, so it is made only if something differs.
+        # A copy is made only if something differs.
         attempt = call
         repeated = call.repeated or previous.reached_target
         if attempt_credits != call.credits or repeated != call.repeated:
             attempt = call.for_attempt(attempt_credits, repeated)
         components.counters.attempts += 1
         router, log = components.router, components.log
-        # Read before the attempt, which changes the router's state.
-        explanation = router.explain(member, call) if log.enabled else None
-        router.started(member, call)
+        explanation = router.started(member, call, log.enabled)
         started = now()
         answer = None
         try:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -91,7 +91,9 @@
         ------
         CallError
             LINK_UNAVAILABLE when nothing was sent, LINK_LOST when the link
-            broke or the peer became unresponsive after sending.
+            broke or the peer became unresponsive after sending. EXPIRED_UNSENT
+            or EXPIRED when the call's deadline had passed, or no answer came
+            shortly after it.
 
         Cancelling the awaiting task sends a cancel frame to the peer.
         """
@@ -201,11 +203,12 @@
         The result is not to be changed.
         """
 
-    def explain(self, member: Member, call: Call) -> dict:
-        """Return what is known of an upstream, for the decision log."""
+    def started(self, member: Member, call: Call, explain: bool) -> dict | None:
+        """Record that an attempt is sent.
 
-    def started(self, member: Member, call: Call) -> None:
-        """Record that an attempt was sent."""
+        With `explain`, return what is known of the upstream before the
+        attempt, for the decision log.
+        """
 
     def ended(
         self, member: Member, call: Call, answer: Answer | None, elapsed: float
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -85,21 +85,22 @@
         strategy = self.strategy
         pool = self.pool(call.service, policy)
         at = self.clock()
-        picked = strategy.pick_fast(pool, call, excluded, at)
-        if picked is not None:
-            return picked.member
+        level = call.level
         available = self.available(pool, excluded, at)
-        if not available:
+        if pool.hints.path_levels and strategy.refuses_all(pool, call, level, at):
+            first = next(available, None)
+        else:
+            picked = strategy.pick_fast(pool, call, level, excluded, at)
+            if picked is not None:
+                return picked.member
+            found = list(available)
+            accepting = [one for one in found if strategy.accepts(one, call, level, at)]
+            if accepting:
+                return strategy.pick(pool, accepting, at).member
+            first = found[0] if found else None
+        if first is None:
             self.counters["no_upstream"] += 1
             raise CallError(ErrorKind.NO_UPSTREAM, call.service)
-        level = call.level
-        accepting = [
-            upstream
-            for upstream in available
-            if strategy.accepts(upstream, call, level, at)
-        ]
-        if accepting:
-            return strategy.pick(pool, accepting, at).member
         self.counters["refused_early"] += 1
         raise CallError(
             ErrorKind.OVERLOADED,
@@ -110,7 +111,7 @@
     def retry_after_ms(self, call):
         """Return the retry delay, with jitter to spread the callers."""
         base = RETRY_AFTER_MS[call.importance]
-        return int(base * self.random.uniform(0.5, 1.5))
+        return int(base * (0.5 + self.random.random()))
 
     def check(self, call):
         """Refuse a call that `choose` would refuse now.
@@ -127,26 +128,29 @@
         policy = self.policy_source()
         if policy is not self.policy:
             self.apply_policy(policy)
-        strategy = self.strategy
         pool = self.pool(call.service, policy)
         at = self.clock()
+        strategy = self.strategy
         level = call.level
+        if pool.hints.path_levels and strategy.refuses_all(pool, call, level, at):
+            return False
         return any(
             strategy.accepts(upstream, call, level, at)
             for upstream in self.available(pool, excluded, at)
         )
 
     def available(self, pool, excluded, at):
-        """Return available upstreams, of the subset or else of the reserve."""
-        return [
-            upstream
-            for upstream in pool.subset
-            if upstream.is_available(at) and upstream.member.name not in excluded
-        ] or [
-            upstream
-            for upstream in pool.reserve
-            if upstream.is_available(at) and upstream.member.name not in excluded
-        ]
+        """Yield available upstreams, of the subset or else of the reserve."""
+        is_any = False
+        for upstream in pool.subset:
+            if upstream.is_available(at) and upstream.member.name not in excluded:
+                is_any = True
+                yield upstream
+        if is_any:
+            return
+        for upstream in pool.reserve:
+            if upstream.is_available(at) and upstream.member.name not in excluded:
+                yield upstream
 
     def pool(self, service, policy):
         """Return a service's pool, refreshed with membership and policy."""
@@ -174,12 +178,28 @@
             if state is not None:
                 state.link_unresponsive = unresponsive
 
-    def started(self, member, call):
-        """Record that an attempt was sent."""
+    def started(self, member, call, explain=False):
+        """Record that an attempt is sent.
+
+        Parameters
+        ----------
+        member : Member
+        call : Call
+        explain : bool
+
+        Returns
+        -------
+        dict or None
+            With `explain`, the state of the chosen upstream before the
+            attempt, for the decision log.
+        """
         pool = self.pools.get(call.service)
         state = pool.states.get(member.name) if pool is not None else None
-        if state is not None:
-            state.in_flight += 1
+        if state is None:
+            return {"name": member.name} if explain else None
+        explanation = self.explain(member, call, state) if explain else None
+        state.in_flight += 1
+        return explanation
 
     def ended(self, member, call, answer, elapsed):
         """Record an attempt's end, once for each `started`.
@@ -230,12 +250,8 @@
         pool = self.pools.get(service)
         return pool.work.services(path_key, self.clock()) if pool is not None else {}
 
-    def explain(self, member, call):
+    def explain(self, member, call, state):
         """Return the state of a chosen upstream for the decision log."""
-        pool = self.pools.get(call.service)
-        state = pool.states.get(member.name) if pool is not None else None
-        if state is None:
-            return {"name": member.name}
         at = self.clock()
         heard_ms = None
         if state.load is not None:
