Look up the owners of a limit once instead of for each request

Cause: each request of a limited account looked up the owners of all slots on the ring, shuffled and sorted them, waited one turn of the event loop without need and set a timer that can be rescheduled. Each owner recomputed rate, depth and ownership of the slot for each token. A request beyond the limit went through the same steps, only to ask nobody. Change: entries keep the owners until the ring or the account changes, and draw one of all orders with the same probabilities as before. Owners keep the configuration of a bucket until the ring, the account or the share of the members changes. Messages and limits stay the same.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/buckets.py
@@ -37,9 +37,12 @@
 
     def refill(self, now):
         """Add the tokens that are due since the last refill."""
-        elapsed = max(0.0, now - self.refilled_at)
-        self.refilled_at = max(now, self.refilled_at)
-        self.tokens = min(self.depth, self.tokens + elapsed * self.rate)
+        elapsed = now - self.refilled_at
+        if elapsed <= 0.0:
+            return
+        self.refilled_at = now
+        tokens = self.tokens + elapsed * self.rate
+        self.tokens = tokens if tokens < self.depth else self.depth
 
     def take(self, now, wanted=1):
         """Take up to so many tokens; return how many were taken.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/demand.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/demand.py
@@ -1,7 +1,6 @@
 """The demand of rate limit slots, measured by their owner."""
 
 import math
-from collections import deque
 
 AVERAGING_SECONDS = 1.0
 """Time constant of the moving average of the demand."""
@@ -61,7 +60,8 @@
     def __init__(self, slot_rate):
         self.slot_rate = slot_rate
         self.rates = {}
-        self.turn = deque()
+        self.turn = []
+        self.position = 0
 
     def record(self, key, count, now, since):
         """Count requests of a slot.
@@ -96,23 +96,25 @@
         there while its usage is fresh. With the usages of the owner's other
         slots, an entry learns them from requests of any account.
         """
+        turn = self.turn
+        start = self.position
+        count = min(MAX_OTHERS, len(turn))
+        keys = turn[start : start + count]
+        keys += turn[: count - len(keys)]
+        self.position = (start + count) % len(turn) if turn else 0
         found = []
-        for _ in range(min(MAX_OTHERS, len(self.turn))):
-            self.turn.rotate(-1)
-            other = self.turn[-1]
-            if other != key:
-                found.append((*other, self.stated_usage(other, now)))
+        for other in keys:
+            if other == key:
+                continue
+            rate = self.rates[other]
+            if now >= rate.stated_until:
+                rate.stated = self.usage(other, now)
+                rate.stated_until = now + OTHER_USAGE_SECONDS
+            found.append((*other, rate.stated))
         return found
 
-    def stated_usage(self, key, now):
-        """Return a usage that was computed recently."""
-        rate = self.rates[key]
-        if now >= rate.stated_until:
-            rate.stated = self.usage(key, now)
-            rate.stated_until = now + OTHER_USAGE_SECONDS
-        return rate.stated
-
     def evict(self, is_owned):
         """Drop the slots that this daemon no longer owns."""
         self.rates = {key: rate for key, rate in self.rates.items() if is_owned(key)}
-        self.turn = deque(self.rates)
+        self.turn = list(self.rates)
+        self.position = 0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limit_owner.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/limit_owner.py
@@ -37,6 +37,11 @@
     ----------
     buckets : dict of (str, int) to TokenBucket
         By account and slot.
+    configured : dict of (str, int) to Account
+        By account and slot, the account by whose limit and `share` the bucket
+        is configured, and whose slot this daemon owns.
+    share : float
+        The `OwnerRing.share` of those.
     is_leaving : bool
         Whether this daemon shuts down and grants no more tokens.
     demands : SlotDemands
@@ -49,6 +54,8 @@
         self.ring = ring
         self.clock = clock
         self.buckets = {}
+        self.configured = {}
+        self.share = 1.0
         self.demands = SlotDemands(self.slot_rate)
         self.ring_version = 0
         self.is_leaving = False
@@ -114,14 +121,17 @@
     def may_grant(self, account, slot):
         """Return whether this daemon owns a slot and its ring has settled."""
         self.evict_buckets()
-        is_active = self.ring.settled_at is not None and not self.is_leaving
-        return is_active and self.owns(account, slot)
+        if self.ring.settled_at is None or self.is_leaving or account is None:
+            return False
+        known = self.configured.get((account.name, slot))
+        return known is account or self.owns(account, slot)
 
     def evict_buckets(self):
         """Drop the buckets of slots that other daemons own after a change."""
         if self.ring_version == self.ring.version:
             return
         self.ring_version = self.ring.version
+        self.configured.clear()
         accounts = self.policy_source().accounts.by_name
         for name, slot in list(self.buckets):
             if not self.owns(accounts.get(name), slot):
@@ -141,11 +151,18 @@
 
     def bucket_of(self, account, slot):
         """Return a slot's bucket, with rate and depth of the current limit."""
-        limit = slot_limit(account.limit, self.ring.share)
+        share = self.ring.share
+        if share != self.share:
+            self.share = share
+            self.configured.clear()
         key = account.name, slot
         bucket = self.buckets.get(key)
+        if self.configured.get(key) is account:
+            return bucket
+        limit = slot_limit(account.limit, share)
         if bucket is None:
             bucket = TokenBucket(limit.rate_per_s, limit.depth, self.owned_since())
             self.buckets[key] = bucket
         bucket.reconfigure(limit.rate_per_s, limit.depth, self.clock())
+        self.configured[key] = account
         return bucket
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
@@ -6,7 +6,9 @@
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
+from papayabay_core.policy.accounts import Account
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.accounts.candidates import CandidateOwners
 from papayabay_daemon._internal.accounts.messages import (
     TOPIC,
     Outcome,
@@ -15,7 +17,8 @@
     encode,
 )
 from papayabay_daemon._internal.accounts.shares import AccountShares
-from papayabay_daemon._internal.accounts.slots import slot_positions
+from papayabay_daemon._internal.accounts.slots import slot_count
+from papayabay_daemon._internal.lifetime.timeouts import CallTimeout
 
 REQUEST_TIMEOUT_SECONDS = 0.15
 """Time-out of a token request; many round trips between failure domains."""
@@ -56,6 +59,9 @@
         By slot, the time until which its owner is not asked again.
     retry_ms : int
         Retry-After in the latest reply of an owner without tokens.
+    closed_until : float
+        Until when no slot of the limit of `closed_for` has a token.
+    closed_for : Account or None
     """
 
     tokens: int = 0
@@ -64,6 +70,8 @@
     demand_rate: float = 0.0
     exhausted_until: dict[int, float] = field(default_factory=dict)
     retry_ms: int = 0
+    closed_until: float = 0.0
+    closed_for: Account | None = None
 
     def record_demand(self, moment):
         """Count a request that needs a token in the demand rate."""
@@ -84,6 +92,13 @@
         self.tokens = unexpired + tokens
         self.expires_at = moment + LEASE_SECONDS
 
+    def close(self, account):
+        """Set until when no slot has a token, once all are exhausted."""
+        known = self.exhausted_until
+        times = [known.get(slot, 0.0) for slot in range(slot_count(account.limit))]
+        self.closed_until = min(times)
+        self.closed_for = account
+
     def exhausted_seconds(self, moment):
         """Return the shortest wait for an exhausted slot; 0 without one."""
         waits = [until - moment for until in self.exhausted_until.values()]
@@ -124,6 +139,7 @@
         self.random = random
         self.clock = clock
         self.shares = shares or AccountShares(clock, lambda: ring.live_count)
+        self.candidates = CandidateOwners(local, ring, random)
         self.leases = {}
         self.unresponsive_until = {}
         self.counters = dict.fromkeys(("asked", "unanswered", "in_advance"), 0)
@@ -136,6 +152,8 @@
         if lease.take(moment):
             self.counters["in_advance"] += 1
             return
+        if moment < lease.closed_until and lease.closed_for is account:
+            self.refuse(lease)
         if not await self.request_token(account, lease):
             self.refuse(lease)
 
@@ -154,8 +172,9 @@
             max_wait_ms = MAX_WAIT_MS if number == len(candidates) else 0
             tokens = tokens_to_request(lease)
             reply = await self.ask(account, slot, member, tokens, max_wait_ms)
-            if self.process_reply(lease, slot, reply):
-                await asyncio.sleep(reply.wait_ms / 1_000)
+            if self.process_reply(account, lease, slot, reply):
+                if reply.wait_ms:
+                    await asyncio.sleep(reply.wait_ms / 1_000)
                 return True
         return False
 
@@ -174,8 +193,8 @@
         # Owners of older releases grant tokens, but state no usage.
         if reply.usage:
             shares.learned(account.name, slot, reply.usage)
-        for name, other_slot, usage in reply.others:
-            shares.learned(name, other_slot, usage)
+        if reply.others:
+            shares.learned_others(reply.others)
         return reply
 
     async def report_demand(self, account):
@@ -185,13 +204,13 @@
         is spread evenly over the slots.
         """
         candidates = self.candidate_owners(account, NO_LEASE)
-        share = len(candidates) / len(slot_positions(account))
+        share = len(candidates) / slot_count(account.limit)
         self.shares.set_reachable(account.name, share)
         if candidates:
             slot, member = self.random.choice(candidates)
             await self.ask(account, slot, member, 0, 0)
 
-    def process_reply(self, lease, slot, reply):
+    def process_reply(self, account, lease, slot, reply):
         """Update a lease from a reply; return whether a token was granted."""
         if reply is None or reply.outcome is Outcome.NOT_OWNER:
             return False
@@ -200,6 +219,7 @@
             pause = min(reply.wait_ms / 1_000, MAX_EXHAUSTED_SECONDS)
             lease.exhausted_until[slot] = moment + pause
             lease.retry_ms = reply.wait_ms
+            lease.close(account)
             return False
         lease.exhausted_until.pop(slot, None)
         lease.add(reply.granted - 1, moment)
@@ -227,21 +247,16 @@
         Left out are slots that are exhausted or reserved for a dead member,
         and owners that did not answer recently.
         """
+        candidates = self.candidates.draw(account)
+        if not lease.exhausted_until and not self.unresponsive_until:
+            return candidates
         moment = self.clock()
-        positions = slot_positions(account)
-        entries = [self.ring.owner_at(position) for position in positions]
-        candidates = [
-            (slot, entry.member)
-            for slot, entry in enumerate(entries)
-            if entry is not None
-            and not entry.is_reserved
-            and lease.exhausted_until.get(slot, 0.0) <= moment
-            and self.unresponsive_until.get(entry.member.name, 0.0) <= moment
+        return [
+            (slot, member)
+            for slot, member in candidates
+            if lease.exhausted_until.get(slot, 0.0) <= moment
+            and self.unresponsive_until.get(member.name, 0.0) <= moment
         ]
-        self.random.shuffle(candidates)
-        domain = self.local.failure_domain
-        candidates.sort(key=lambda item: item[1].failure_domain != domain)
-        return candidates
 
     async def send(self, member, request):
         """Return an owner's `TokenReply`, or None if it did not answer."""
@@ -250,7 +265,7 @@
         self.counters["asked"] += 1
         payload = encode(request)
         try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+            with CallTimeout(REQUEST_TIMEOUT_SECONDS):
                 answer = await self.links.request(
                     member, TOPIC, payload, REQUEST_TIMEOUT_SECONDS
                 )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_ring.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_ring.py
@@ -138,6 +138,8 @@
         Without the report, it would take the members on its side of a
         partition for all members.
         """
+        if not count and not self.reported_lost:
+            return
         moment = self.clock()
         if count >= self.reported_lost or self.is_report_stale(moment):
             self.reported_lost = count
@@ -155,6 +157,8 @@
         reserved; each slot then grants only this share of its limit.
         """
         lost = self.lost_count
+        if not lost and not self.reported_lost:
+            return 1.0
         if not self.is_report_stale(self.clock()):
             lost = max(lost, self.reported_lost)
         absent = max(0, lost - len(self.reserved))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/shares.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/shares.py
@@ -219,6 +219,23 @@
         known = self.known(name, 0.0)
         known.usages[slot] = usage, self.clock()
 
+    def learned_others(self, others):
+        """Take over usages of further slots that one reply states.
+
+        Parameters
+        ----------
+        others : list of (str, int, float)
+            Account, slot and usage.
+        """
+        moment = self.clock()
+        accounts = self.accounts
+        for name, slot, usage in others:
+            known = accounts.get(name)
+            if known is None:
+                self.learned(name, slot, usage)
+            elif slot < MAX_SLOTS:
+                known.usages[slot] = usage, moment
+
     def policy_changed(self, policy):
         """Drop accounts without a limit; rescale usages to changed limits."""
         limits = {
--- a/tests/unit/daemon/test_account_shares.py
+++ b/tests/unit/daemon/test_account_shares.py
@@ -191,7 +191,7 @@
         self.now = 100.0
         entry = SimpleNamespace(member=member("older"), is_reserved=False)
         ring = SimpleNamespace(
-            live_count=2, lost_count=0, owner_at=lambda position: entry
+            live_count=2, lost_count=0, version=0, owner_at=lambda position: entry
         )
         self.links = OlderOwner()
         self.shares = AccountShares(lambda: self.now, lambda: 2)
