--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
@@ -210,7 +210,9 @@
             if unresponsive != self.unresponsive:
                 self.set_unresponsive(unresponsive)
         quiet = moment - last_received
-        if self.stamp_due(moment) or quiet >= self.heartbeat_interval(detector):
+        may_be_due = self.stamped or moment - self.last_stamp >= STAMP_SECONDS
+        is_stamp_due = may_be_due and self.stamp_due(moment)
+        if is_stamp_due or quiet >= self.heartbeat_interval(detector):
             self.send_ping()
             self.last_stamp = moment
         if self.dialled and self.idle():
