--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/authentication.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/authentication.py
@@ -93,7 +93,7 @@
             UNAUTHENTICATED; the reason is counted but not part of the answer.
             ACCOUNTS_STALE, also for an unknown key that may be a new one.
         """
-        if not self.policy_source().accounts:
+        if not self.policy_source().accounts.by_name:
             return None
         authorization = incoming.authorization
         if authorization is None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -90,7 +90,7 @@
             if components.settings.calls.infer_parents:
                 self.infer_parent(incoming)
             rule = self.find_rule(incoming)
-            if policy.accounts and not incoming.call_token:
+            if policy.accounts.by_name and not incoming.call_token:
                 identity = await components.accounts.authenticate(incoming, rule)
             answer = await self.run_request(incoming, rule, request_id, identity)
         except CallError as error:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/outgoing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/outgoing.py
@@ -39,7 +39,7 @@
         own, a request that makes nine calls, each refused with a probability
         of one in ten, would seldom succeed.
         """
-        if self.components.policy().accounts:
+        if self.components.policy().accounts.by_name:
             self.find_named_parent(incoming)
             return
         expires_at = None
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/headers.py
@@ -173,7 +173,10 @@
     for raw_name, raw_value in raw_headers:
         name = known_names.get(raw_name) or names.classify(raw_name)
         text, key, is_stripped, is_inspected = name
-        value = raw_value.decode("utf-8", "surrogateescape")
+        try:
+            value = raw_value.decode()
+        except UnicodeDecodeError:
+            value = raw_value.decode(*HEADER_CODEC)
         # One check for nearly all values; a printable one has no such byte.
         if not value.isprintable() and BREAKS.search(value):
             raise ValueError(f"{text} has a line break or NUL")
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -1,7 +1,5 @@
 """Ranks: the order in which requests of one class are refused."""
 
-import math
-
 import xxhash
 
 from papayabay_core.importance import RANK_BITS, RANKS, Importance
@@ -74,19 +72,18 @@
     return rank_in_account_class(path_importance, 0)
 
 
-def scaled_rank(rank, *factors):
-    """Return a rank multiplied by factors, at most the last rank.
+def scaled_rank(rank, factor):
+    """Return a rank multiplied by a factor, at most the last rank.
 
     Requests with smaller factors get better ranks, and are refused later.
 
     Parameters
     ----------
     rank : int
-    factors : float
-        Each at least 0; 1 changes nothing.
+    factor : float
+        At least 0; 1 changes nothing.
     """
-    scaled = math.prod(factors, start=float(rank))
-    return min(int(scaled), RANKS - 1)
+    return min(int(rank * factor), RANKS - 1)
 
 
 def per_hop_rank(random):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
@@ -57,14 +57,22 @@
         Length of a period in seconds.
     size : int
         Number of periods that are kept.
+
+    Attributes
+    ----------
+    newest_period : int
+        Number of the newest period.
+    newest_start : int
+        Index of its first count in `slots`.
+    newest_end : float
+        When it ends.
     """
 
     def __init__(self, period, size):
         self.period = period
         self.size = size
         self.slots = array("L", [0]) * (size * len(OUTCOMES))
-        self.newest_period = int(now() / period)
-        self.newest_start = (self.newest_period % size) * len(OUTCOMES)
+        self.set_newest(int(now() / period))
 
     def advance(self, moment):
         """Clear the slots of the periods that began since the last call.
@@ -77,14 +85,13 @@
             start = ((current - step) % self.size) * len(OUTCOMES)
             for outcome in range(len(OUTCOMES)):
                 self.slots[start + outcome] = 0
-        self.newest_period = max(self.newest_period, current)
-        self.newest_start = (self.newest_period % self.size) * len(OUTCOMES)
+        self.set_newest(max(self.newest_period, current))
 
-    def record(self, outcome, moment):
-        """Count one request in the current period."""
-        if int(moment / self.period) != self.newest_period:
-            self.advance(moment)
-        self.slots[self.newest_start + outcome] += 1
+    def set_newest(self, period):
+        """Set the newest period, in which requests are counted."""
+        self.newest_period = period
+        self.newest_start = (period % self.size) * len(OUTCOMES)
+        self.newest_end = (period + 1) * self.period
 
     def total(self, seconds, moment):
         """Return counts by outcome name over the last `seconds`."""
@@ -111,6 +118,13 @@
         default_factory=lambda: CountRing(HOUR_SECONDS, HOURS_KEPT)
     )
 
+    def record(self, outcome, moment):
+        """Count one request in the current minute and hour."""
+        for ring in (self.minutes, self.hours):
+            if moment >= ring.newest_end:
+                ring.advance(moment)
+            ring.slots[ring.newest_start + outcome] += 1
+
 
 class ObjectiveCounters:
     """Counts the requests that entered at this daemon against objectives.
@@ -146,8 +160,7 @@
             return
         outcome = classify_outcome(objective, answer, elapsed)
         moment = now()
-        rings.minutes.record(outcome, moment)
-        rings.hours.record(outcome, moment)
+        rings.record(outcome, moment)
 
     def add_rings(self, path_key):
         """Return a new path's rings, or None beyond the limit of paths."""
