Read a body that is here already without a coroutine

Cause: A body that had been received with its head was read by two coroutines for each part and by a third around the call.

Change: If the body is complete and below the limits, the door takes it from the payload and passes on the coroutine of the call flow. A test guards the limit of a chunked body that comes with its head.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/calls.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/calls.py
@@ -18,20 +18,28 @@
     def answer(self, request):
         """Return a coroutine that answers a call or a reserved path.
 
-        For a request without a body it is that of the call flow itself: each
-        layer of coroutines costs every request processor time.
+        If the body is here already, or there is none, it is that of the call
+        flow itself: each layer of coroutines costs every request processor
+        time.
         """
         reserved = self.dialect.reserved_prefix
         if reserved and request.raw_path.startswith(reserved):
             return self.answer_reserved(request)
         incoming = read_incoming(request, self.limits, self.dialect)
-        if request.payload is not None:
+        payload, limits = request.payload, self.limits
+        if payload is None:
+            body = Body()
+        elif payload.complete and payload.received_bytes <= min(
+            limits.inline_body_bytes, limits.body_bytes
+        ):
+            body = Body(payload.read_all_nowait())
+        else:
             return self.answer_with_body(request, incoming)
-        set_body(incoming, Body(), request.length)
+        set_body(incoming, body, request.length)
         return self.run(incoming)
 
     async def answer_with_body(self, request, incoming):
-        """Answer a call whose body is received.
+        """Answer a call whose body is still received, or is large.
 
         If the body could not be read, that error takes precedence over the
         error that it caused.
--- a/tests/unit/daemon/test_doors_limits.py
+++ b/tests/unit/daemon/test_doors_limits.py
@@ -50,6 +50,17 @@
         self.assertEqual((status, dict(got)["Papayabay-Effect"]), (413, "not-run"))
         self.assertEqual(dict(got)["Connection"], "close")
 
+    async def test_too_large_chunked_body_is_refused(self):
+        """Guards against a limit that holds only while a body is received."""
+        headers = [("Transfer-Encoding", "chunked")]
+        for size, expected, runs in ((2048, 200, 1), (2049, 413, 0)):
+            flow = FakeFlow()
+            body = b"%x\r\n%b\r\n0\r\n\r\n" % (size, b"a" * size)
+            raw = request(method="POST", headers=headers) + body
+            status, _, _ = await self.ask(flow, raw, body_bytes=2048)
+            self.assertEqual(status, expected)
+            self.assertEqual(len(flow.seen), runs)
+
     async def test_limit_exceeded_while_streaming_has_unknown_effect(self):
         """A caller got effect "not run" for a request that had started.
 
