--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
@@ -104,12 +104,16 @@
             raise ConnectionResetError(CLOSED)
         if self.has_body():
             # One write sends head and body.
-            head = self.head(f"Content-Length: {len(body.first)}\r\n", False)
-            connection.transport.write(head + body.first)
+            connection.transport.write(self.whole_message())
         else:
             self.write_bare_head()
         return None
 
+    def whole_message(self):
+        """Return head and body of an answer that is complete in memory."""
+        body = self.answer.body.first
+        return self.head(f"Content-Length: {len(body)}\r\n", False) + body
+
     async def send_stream(self):
         """Write head and streamed body, and close the body's source."""
         connection = self.connection
@@ -172,7 +176,7 @@
         last = ""
         if not self.keep_alive:
             last = "Connection: close\r\n"
-        elif self.request.version < "1.1":
+        elif self.request is not None and self.request.version < "1.1":
             last = "Connection: keep-alive\r\n"
         final = self.dialect.final_header_lines(answer)
         return f"{head}{date}{final}{framing}{last}\r\n".encode(*HEADER_CODEC)
