Move the exchange of a server connection to its own module

Change: `Exchange` and the protocol `Responder` are in `http/exchange.py`, moved without a change.

Measured result: none is expected. The tests of the doors, the connections and the platform pass (133).

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
@@ -1,7 +1,6 @@
 """Server connections, which answer pipelined requests in order."""
 
 from collections import deque
-from typing import Protocol
 
 import httptools
 import logbook
@@ -9,6 +8,7 @@
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.http.connection import HttpConnection
 from papayabay_core.http.heads import HeaderCollector
+from papayabay_daemon._internal.http.exchange import Exchange
 from papayabay_daemon._internal.http.request import Request
 
 KEEP_ALIVE_SECONDS = 75.0
@@ -21,59 +21,6 @@
 log = logbook.Logger("papayabay.doors")
 
 
-class Responder(Protocol):
-    """Answers the requests of connections; see `doors.protocol.Door`.
-
-    Attributes
-    ----------
-    stopping : bool
-        Whether each connection is closed after its next answer.
-    connections : set of ServerConnection
-        Open connections.
-    """
-
-    stopping: bool
-    connections: set
-
-    def respond(self, request):
-        """Return an awaitable of the `Answer` to a request; both may raise."""
-
-    def render(self, answer):
-        """Return the `DoorResponse` that writes an `Answer`."""
-
-    def refuse(self, error):
-        """Return the `DoorResponse` that reports an exception."""
-
-
-class Exchange:
-    """A request to answer, or the error to answer malformed data with.
-
-    Attributes
-    ----------
-    request : Request or None
-        None if the data could not be parsed as a request.
-    error : CallError or None
-        Why there is no request.
-    task : asyncio.Task or None
-        None while the exchange is queued.
-    turn : asyncio.Future or None
-        Done when earlier answers are sent; None unless the answer waits.
-    """
-
-    __slots__ = ("error", "request", "task", "turn")
-
-    def __init__(self, request=None, error=None):
-        self.request = request
-        self.error = error
-        self.task = None
-        self.turn = None
-
-    @property
-    def is_concurrent(self):
-        """Whether it may run concurrently with others of its connection."""
-        return self.request is not None and self.request.is_concurrent
-
-
 class ServerConnection(HeaderCollector, HttpConnection):
     """One client's connection, on which requests may be pipelined.
 
