--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/deadlines.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/deadlines.py
@@ -12,6 +12,9 @@
         Time requested by the caller; it can only shorten the rule's. With 0
         or less, the request has expired on arrival.
     """
-    if requested_ms is None or requested_ms >= rule.deadline_ms:
+    if requested_ms is None:
         return rule.deadline_ms / 1_000.0
-    return requested_ms / 1_000.0 if requested_ms > 0 else 0.0
+    if requested_ms <= 0:
+        return 0.0
+    deadline_ms = rule.deadline_ms
+    return (requested_ms if requested_ms < deadline_ms else deadline_ms) / 1_000.0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -5,6 +5,9 @@
 from papayabay_core.importance import RANK_BITS, RANKS, Importance
 
 HASH_BITS = 64
+CRITICAL = Importance.CRITICAL
+CLASSES = len(Importance)
+"""Read for each request; an `Enum` looks its members up in Python."""
 
 
 def rank_of(key_or_request_id):
@@ -36,9 +39,9 @@
         Share of the requests to treat as critical.
     """
     critical_ranks = kept_share * RANKS
-    if importance is Importance.CRITICAL or rank >= critical_ranks:
+    if importance is CRITICAL or rank >= critical_ranks:
         return importance, rank
-    return Importance.CRITICAL, int(rank / kept_share)
+    return CRITICAL, int(rank / kept_share)
 
 
 def rank_in_account_class(importance, rank):
@@ -54,7 +57,7 @@
         Class of the call path.
     rank : int
     """
-    return (importance * RANKS + rank) // len(Importance)
+    return (importance * RANKS + rank) // CLASSES
 
 
 def best_rank(path_importance, account_importance):
@@ -83,7 +86,8 @@
     factor : float
         At least 0; 1 changes nothing.
     """
-    return min(int(rank * factor), RANKS - 1)
+    scaled = int(rank * factor)
+    return scaled if scaled < RANKS else RANKS - 1
 
 
 def per_hop_rank(random):
