Send requests for versions over a new link when theirs is silent

Cause: a push or a pull of a version over a link that had gone silent while idle took its full timeout of 1 s, and a second one followed on the same link. Other links of the peer may be silent as well. The silent link gets a heartbeat, so that its liveness check closes it. Other control requests and calls are as before.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pulling.py
@@ -10,7 +10,6 @@
 from papayabay_core.exceptions import PlatformError, ProtocolError
 from papayabay_daemon._internal.configuration.messages import (
     FULL_TOPIC,
-    PEER_SECONDS,
     TAIL,
     TAIL_TOPIC,
     decode_chunk,
@@ -18,6 +17,7 @@
     encode_version,
 )
 from papayabay_daemon._internal.configuration.offers import Offers
+from papayabay_daemon._internal.configuration.requesting import request_peer
 from papayabay_daemon._internal.membership.detector import wait_event
 from papayabay_daemon._internal.membership.sampling import random_peers
 
@@ -119,7 +119,7 @@
         previous = self.state.version.latest.version
         asked_at = self.state.clock()
         try:
-            answer = await self.links.request(peer, topic, payload, PEER_SECONDS)
+            answer = await request_peer(self.links, peer, topic, payload)
             offer = await self.apply_answer(peer, answer, asked_at)
         except UpgradeNeeded as error:
             return self.record_undecodable(peer, error)
@@ -180,7 +180,7 @@
         content = bytearray(chunk)
         while len(content) < total:
             request = encode_version(len(content))
-            answer = await self.links.request(peer, FULL_TOPIC, request, PEER_SECONDS)
+            answer = await request_peer(self.links, peer, FULL_TOPIC, request)
             offer, body = decode_offer(answer)
             new_total, chunk = decode_chunk(body, len(content))
             if (offer.version, new_total) != (version, total):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/pushing.py
@@ -6,9 +6,9 @@
 from papayabay_core.exceptions import ProtocolError
 from papayabay_daemon._internal.configuration.messages import (
     OFFER_TOPIC,
-    PEER_SECONDS,
     decode_offer,
 )
+from papayabay_daemon._internal.configuration.requesting import request_peer
 from papayabay_daemon._internal.membership.sampling import random_peers
 
 FAN_OUT = 3
@@ -102,7 +102,7 @@
         asked_at = self.state.clock()
         payload = self.state.own_offer().encode()
         try:
-            answer = await self.links.request(peer, OFFER_TOPIC, payload, PEER_SECONDS)
+            answer = await request_peer(self.links, peer, OFFER_TOPIC, payload)
             offer, _ = decode_offer(answer)
         except (ProtocolError, OSError, TimeoutError):
             self.state.counts["push_errors"] += 1
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -119,6 +119,18 @@
         TimeoutError
         """
 
+    async def replace_silent_link(self, peer: Member, seconds: float) -> bool:
+        """Open another link to a peer if nothing came over the newest one.
+
+        Returns whether there is another one for new requests and calls.
+
+        Parameters
+        ----------
+        peer : Member
+        seconds : float
+            Seconds without any data after which a link counts as silent.
+        """
+
     def handle_calls(self, run: CallHandler, forward: CallHandler) -> None:
         """Set the handlers of incoming calls and of forwarded calls."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/link.py
@@ -174,6 +174,10 @@
         self.pending_ping_us = now_us()
         self.send(encode_number("ping", self.pending_ping_us))
 
+    def seconds_silent(self):
+        """Return the seconds since anything was received."""
+        return now() - self.last_received
+
     def check_liveness(self, detector, moment):
         """Check the peer's liveness; called once per heartbeat period.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import logbook
@@ -179,6 +180,20 @@
             raise ProtocolError(str(error)) from None
         return await link.outgoing.request(topic, payload, timeout)
 
+    async def replace_silent_link(self, peer, seconds):
+        """Open another link if nothing came over the newest one for a while.
+
+        The silent link is left to its liveness check, which a heartbeat
+        starts: calls on it may still get their answers.
+        """
+        silent = self.live_link(peer.name)
+        if silent is None or silent.seconds_silent() < seconds:
+            return False
+        silent.send_ping()
+        with suppress(CallError):
+            await self.dialler.dial(peer)
+        return self.live_link(peer.name) not in (None, silent)
+
     def live_link(self, name):
         """Return a peer's newest link that is not retired, or None."""
         peer = self.peers.get(name)
--- a/tests/lib/cluster_fakes.py
+++ b/tests/lib/cluster_fakes.py
@@ -113,6 +113,9 @@
         network.bytes[topic] = network.bytes.get(topic, 0) + size
         return answer
 
+    async def replace_silent_link(self, peer, seconds):
+        return False
+
 
 def make_settings(name, domain="d1", **timing):
     """Return a daemon's settings, with short periods for tests."""
--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -103,6 +103,8 @@
         Daemons that the store turns away, and how.
     severed : object
         Replaced by `sever_store`.
+    severed_links : object
+        Replaced by `sever_links`.
     late : list of (str, float, int, int)
         Daemon, time, version in force and version required, for each daemon
         that was behind longer than the bound.
@@ -128,6 +130,7 @@
         self.changed = asyncio.Event()
         self.store_calls = 0
         self.severed = object()
+        self.severed_links = object()
         self.loss = 0.0
         self.cuts, self.cut_off, self.turned_away = {}, set(), {}
         self.disturbed_at, self.served_since, self.store_disturbed_at = {}, {}, 0.0
@@ -188,6 +191,10 @@
         """Let the store answer no request for changes that is in flight."""
         self.severed = object()
 
+    def sever_links(self):
+        """Let the open links between daemons pass nothing any more."""
+        self.severed_links = object()
+
     async def cut(self, names, seconds, one_way=False, store=True):
         """Cut daemons from all others and the store."""
         names, key = frozenset(names), object()
--- a/tests/unit/daemon/configuration_network.py
+++ b/tests/unit/daemon/configuration_network.py
@@ -50,6 +50,7 @@
 
     is_open = True
     unresponsive = False
+    received_at = 0.0
 
     def __init__(self, fleet, name, peer_name):
         self.fleet = fleet
@@ -59,6 +60,13 @@
         self.process = fleet.daemons[peer_name]
         self.lost = asyncio.Event()
         self.opened = fleet.loop.create_future()
+        self.severed = fleet.severed_links
+
+    def seconds_silent(self):
+        return self.fleet.clock() - self.received_at
+
+    def send_ping(self):
+        pass
 
     def abort(self, reason):
         self.lost.set()
@@ -89,6 +97,7 @@
         handler = self.process.links.handlers.topics[topic]
         answer = await handler(payload, self.name)
         await self.transfer(self.peer_name, self.name)
+        self.received_at = self.fleet.clock()
         return answer
 
     async def transfer(self, source, target):
@@ -96,7 +105,8 @@
         fleet = self.fleet
         lost = fleet.rng.random() < fleet.loss
         await asyncio.sleep(DELAY_S + lost * RETRANSMISSION_S)
-        if not fleet.is_open(source, target):
+        severed = self.severed is not fleet.severed_links
+        if severed or not fleet.is_open(source, target):
             fleet.loop.call_later(SILENCE_S, self.close)
             await self.lost.wait()
             raise ProtocolError("link lost")
--- a/tests/unit/daemon/test_silent_store.py
+++ b/tests/unit/daemon/test_silent_store.py
@@ -25,24 +25,40 @@
 
 
 class SpreadTests(unittest.TestCase):
-    def test_version_of_one_reader_reaches_the_others_at_once(self):
-        """A version that the store gave to one reader spread for a second.
+    def assert_spread_in_time(self, sever, size, domains):
+        """Check how long a version takes from one reader to all daemons.
 
-        Each reader has it from the store on other days, and announced it to
-        its own domain only if it came from there.
+        Parameters
+        ----------
+        sever : callable
+            Called with the fleet before the version is written.
         """
         for seed in range(8):
             times = []
 
             async def scenario(fleet, times=times):
+                sever(fleet)
                 fleet.sever_store()
                 fleet.change()
                 await time_until(fleet, any)
                 times.append(await time_until(fleet, all))
 
-            play(scenario, 30, 5, seed)
+            play(scenario, size, domains, seed)
             bound = IN_FORCE_SECONDS - NOTICE_SECONDS
-            self.assertLess(max(times), bound, f"seed {seed}")
+            self.assertLess(max(times), bound, f"{size} daemons, seed {seed}")
+
+    def test_version_of_one_reader_reaches_the_others_at_once(self):
+        """A version that the store gave to one reader spread for a second.
+
+        Each reader has it from the store on other days, and announced it to
+        its own domain only if it came from there.
+        """
+        self.assert_spread_in_time(lambda fleet: None, 30, 5)
+
+    def test_version_passes_daemons_with_silent_links_in_time(self):
+        """A push and a pull took a second each when their link was silent."""
+        for size, domains in SHAPES:
+            self.assert_spread_in_time(lambda fleet: fleet.sever_links(), size, domains)
 
 
 class SilentStoreTests(unittest.TestCase):
