Send a request for a version again when its link is closed or replaced

Cause: a pull still took up to 1 s more in two cases. The peer had opened a new link for its push just then, which was not silent, so that the pull's own silent link passed for a slow peer. Or the link was closed as silent within 0.1 s, and the pull waited for the backoff of a peer that can't be reached. Also, a reader that pulled a version over a silent link counted its waits 0.1 s late. Change: a link that either end opened since the request is used for it; a request whose link is lost (`LinkLost`) is sent once more at once; the waits of a reader count from the first offer of the version.

--- a/packages/papayabay-core/src/papayabay_core/exceptions.py
+++ b/packages/papayabay-core/src/papayabay_core/exceptions.py
@@ -34,3 +34,7 @@
 
 class ProtocolError(PapayabayError):
     """A peer violated the link protocol."""
+
+
+class LinkLost(ProtocolError):
+    """A link was closed before the answer to a control request came."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/requesting.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/requesting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from papayabay_core.exceptions import ProtocolError
+from papayabay_core.exceptions import LinkLost, ProtocolError
 from papayabay_daemon._internal.configuration.messages import PEER_SECONDS
 
 REDIAL_SECONDS = 0.1
@@ -17,7 +17,9 @@
 
     A link that was idle when it went silent is noticed only two seconds after
     the request. As these requests may be run twice, a new link is opened
-    meanwhile, and the first answer counts.
+    meanwhile, and the first answer counts. If the link is closed as silent
+    just then, the request is sent once more: a pull would else wait for the
+    backoff of a peer that can't be reached.
 
     Parameters
     ----------
@@ -31,6 +33,14 @@
     ProtocolError, OSError, TimeoutError
         When the request on the first link failed, and on another one too.
     """
+    try:
+        return await request_or_redial(links, peer, topic, payload)
+    except LinkLost:
+        return await request_or_redial(links, peer, topic, payload)
+
+
+async def request_or_redial(links, peer, topic, payload):
+    """Send a request, and again over a new link if the first is silent."""
     first = asyncio.ensure_future(links.request(peer, topic, payload, PEER_SECONDS))
     tasks = {first}
     try:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/wait_schedule.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/wait_schedule.py
@@ -38,9 +38,15 @@
         self.counts_from = None
         self.is_first = True
 
-    def record_change(self):
-        """Count the next wait from now, as those of all other readers."""
-        self.counts_from = self.clock()
+    def record_change(self, known_since=None):
+        """Count the next wait from a change, as all other readers do.
+
+        Parameters
+        ----------
+        known_since : float or None
+            When a peer first offered the new version; None for now.
+        """
+        self.counts_from = self.clock() if known_since is None else known_since
         self.is_first = True
 
     def record_unchanged(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/configuration/watching.py
@@ -165,7 +165,7 @@
 
     def expect_change(self, policy):
         """Limit the wait for a change after a peer has sent one."""
-        self.schedule.record_change()
+        self.schedule.record_change(self.state.lag.since)
         if self.waiting is not None and self.waiting.when() is None:
             loop = asyncio.get_running_loop()
             self.waiting.reschedule(loop.time() + CHANGE_LAG_SECONDS)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/interfaces.py
@@ -122,13 +122,15 @@
     async def replace_silent_link(self, peer: Member, seconds: float) -> bool:
         """Open another link to a peer if nothing came over the newest one.
 
-        Returns whether there is another one for new requests and calls.
+        Returns whether there is one that was opened within that time, by
+        either end, for new requests and calls.
 
         Parameters
         ----------
         peer : Member
         seconds : float
-            Seconds without any data after which a link counts as silent.
+            Seconds without any data after which a link counts as silent,
+            such as the time since a request that was not answered.
         """
 
     def handle_calls(self, run: CallHandler, forward: CallHandler) -> None:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from papayabay_core.errors import CallError, ErrorKind
-from papayabay_core.exceptions import ProtocolError
+from papayabay_core.exceptions import LinkLost, ProtocolError
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.links.call_frames import decode_answer, encode_call
 from papayabay_daemon._internal.links.clock_offset import now_us
@@ -240,4 +240,4 @@
             self.release(number)
         for future in self.requests.values():
             if not future.done():
-                future.set_exception(ProtocolError(f"link lost: {reason}"))
+                future.set_exception(LinkLost(f"link lost: {reason}"))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/peers.py
@@ -9,6 +9,7 @@
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.interfaces import CallHandler, RequestHandler
 from papayabay_daemon._internal.links.counters import LinkCounters, RateLimitedLog
 from papayabay_daemon._internal.links.dialling import Dialler, PeerEntry
@@ -183,16 +184,20 @@
     async def replace_silent_link(self, peer, seconds):
         """Open another link if nothing came over the newest one for a while.
 
-        The silent link is left to its liveness check, which a heartbeat
-        starts: calls on it may still get their answers.
+        Both ends of a silent link often replace it at the same time, so that
+        the peer may have opened the new link just now. The silent link is left
+        to its liveness check, which a heartbeat starts: calls on it may still
+        get their answers.
         """
-        silent = self.live_link(peer.name)
-        if silent is None or silent.seconds_silent() < seconds:
+        newest = self.live_link(peer.name)
+        if newest is None:
             return False
-        silent.send_ping()
+        if newest.seconds_silent() < seconds:
+            return now() - newest.since < seconds
+        newest.send_ping()
         with suppress(CallError):
             await self.dialler.dial(peer)
-        return self.live_link(peer.name) not in (None, silent)
+        return self.live_link(peer.name) not in (None, newest)
 
     def live_link(self, name):
         """Return a peer's newest link that is not retired, or None."""
--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -14,7 +14,7 @@
 
 from papayabay_daemon._internal.configuration import ConfigurationManager
 from papayabay_daemon._internal.configuration.watching import VersionWatcher
-from papayabay_daemon._internal.links import dialling
+from papayabay_daemon._internal.links import dialling, peers
 from papayabay_daemon._internal.links.peers import PeerLinks
 from papayabay_daemon._internal.membership import Membership
 from tests.lib.cluster_fakes import make_settings, seeded_rng
@@ -136,10 +136,13 @@
         self.disturbed_at, self.served_since, self.store_disturbed_at = {}, {}, 0.0
         self.late = []
         self.daemons = {}
-        self.patch = mock.patch.object(dialling, "now", self.clock)
+        self.patches = [
+            mock.patch.object(module, "now", self.clock) for module in (dialling, peers)
+        ]
 
     async def __aenter__(self):
-        self.patch.start()
+        for patch in self.patches:
+            patch.start()
         for name in self.names:
             self.start(name)
         await asyncio.sleep(6.0)
@@ -150,7 +153,8 @@
         self.sampling.cancel()
         for daemon in list(self.daemons.values()):
             await daemon.stop()
-        self.patch.stop()
+        for patch in self.patches:
+            patch.stop()
 
     def start(self, name):
         self.disturbed_at[name] = self.clock()
--- a/tests/unit/daemon/configuration_network.py
+++ b/tests/unit/daemon/configuration_network.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 from papayabay_core.configuration import Configuration
-from papayabay_core.exceptions import PlatformError, ProtocolError
+from papayabay_core.exceptions import LinkLost, PlatformError
 from papayabay_daemon._internal.links import dialling
 from tests.lib.cluster_fakes import MemoryTable
 
@@ -61,6 +61,7 @@
         self.lost = asyncio.Event()
         self.opened = fleet.loop.create_future()
         self.severed = fleet.severed_links
+        self.since = fleet.clock()
 
     def seconds_silent(self):
         return self.fleet.clock() - self.received_at
@@ -83,7 +84,7 @@
             if exchange.done():
                 return exchange.result()
             if lost.done():
-                raise ProtocolError("link lost")
+                raise LinkLost("link lost")
             raise TimeoutError
         finally:
             exchange.cancel()
@@ -93,7 +94,7 @@
         await self.transfer(self.name, self.peer_name)
         if self.fleet.daemons.get(self.peer_name) is not self.process:
             self.close()
-            raise ProtocolError("link lost")
+            raise LinkLost("link lost")
         handler = self.process.links.handlers.topics[topic]
         answer = await handler(payload, self.name)
         await self.transfer(self.peer_name, self.name)
@@ -109,7 +110,7 @@
         if severed or not fleet.is_open(source, target):
             fleet.loop.call_later(SILENCE_S, self.close)
             await self.lost.wait()
-            raise ProtocolError("link lost")
+            raise LinkLost("link lost")
 
     def close(self):
         self.lost.set()
--- a/tests/unit/daemon/test_links_dialling.py
+++ b/tests/unit/daemon/test_links_dialling.py
@@ -1,4 +1,4 @@
-"""Tests of the backoff after failed dials."""
+"""Tests of the backoff after failed dials, and of silent links."""
 
 import random
 import unittest
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from papayabay_core.errors import CallError
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.links import dialling
 from papayabay_daemon._internal.links.limits import BACKOFF_MAX_SECONDS
 from tests.unit.daemon.links_support import make_links
@@ -65,3 +66,48 @@
         await self.dial()
         self.assertEqual(self.dialler.dials, FAILURES + 1)
         self.assertLess(self.now - started, 3.0)
+
+
+class SilentLinkTests(unittest.IsolatedAsyncioTestCase):
+    """Links that are replaced while a request on them is unanswered."""
+
+    def links_with(self, silent_s, open_s):
+        """Return links with one link of the peer, and that link."""
+        links = make_links("d1")
+        self.dials = 0
+        link = SimpleNamespace(
+            since=now() - open_s,
+            seconds_silent=lambda: silent_s,
+            send_ping=mock.Mock(),
+        )
+        links.entry_of(PEER.name).links.append(link)
+
+        async def dial(peer):
+            self.dials += 1
+            links.entry_of(peer.name).links.append(mock.Mock())
+
+        links.dialler.dial = dial
+        return links, link
+
+    async def test_silent_link_is_replaced_and_checked(self):
+        """A request over a link that had gone silent took a second."""
+        links, link = self.links_with(silent_s=2.0, open_s=9.0)
+        self.assertTrue(await links.replace_silent_link(PEER, 0.1))
+        self.assertEqual(self.dials, 1)
+        link.send_ping.assert_called_once_with()
+
+    async def test_link_that_the_peer_has_just_opened_is_used(self):
+        """A pull waited for 1 s on a silent link though a new one was open.
+
+        The peer had opened it for its push, and as that was not silent, the
+        pull counted as unanswered by a slow peer.
+        """
+        links, _ = self.links_with(silent_s=0.05, open_s=0.06)
+        self.assertTrue(await links.replace_silent_link(PEER, 0.1))
+        self.assertEqual(self.dials, 0)
+
+    async def test_link_of_a_slow_peer_is_kept(self):
+        """Guards against a new link for each request under load."""
+        links, _ = self.links_with(silent_s=0.05, open_s=9.0)
+        self.assertFalse(await links.replace_silent_link(PEER, 0.1))
+        self.assertEqual(self.dials, 0)
