--- a/tests/unit/daemon/configuration_fleet.py
+++ b/tests/unit/daemon/configuration_fleet.py
@@ -14,7 +14,7 @@
 
 from papayabay_daemon._internal.configuration import ConfigurationManager
 from papayabay_daemon._internal.configuration.watching import VersionWatcher
-from papayabay_daemon._internal.links import dialling
+from papayabay_daemon._internal.links import dialling, peers
 from papayabay_daemon._internal.links.peers import PeerLinks
 from papayabay_daemon._internal.membership import Membership
 from tests.lib.cluster_fakes import make_settings, seeded_rng
@@ -103,6 +103,8 @@
         Daemons that the store turns away, and how.
     severed : object
         Replaced by `sever_store`.
+    severed_links : object
+        Replaced by `sever_links`.
     late : list of (str, float, int, int)
         Daemon, time, version in force and version required, for each daemon
         that was behind longer than the bound.
@@ -128,15 +130,19 @@
         self.changed = asyncio.Event()
         self.store_calls = 0
         self.severed = object()
+        self.severed_links = object()
         self.loss = 0.0
         self.cuts, self.cut_off, self.turned_away = {}, set(), {}
         self.disturbed_at, self.served_since, self.store_disturbed_at = {}, {}, 0.0
         self.late = []
         self.daemons = {}
-        self.patch = mock.patch.object(dialling, "now", self.clock)
+        self.patches = [
+            mock.patch.object(module, "now", self.clock) for module in (dialling, peers)
+        ]
 
     async def __aenter__(self):
-        self.patch.start()
+        for patch in self.patches:
+            patch.start()
         for name in self.names:
             self.start(name)
         await asyncio.sleep(6.0)
@@ -147,7 +153,8 @@
         self.sampling.cancel()
         for daemon in list(self.daemons.values()):
             await daemon.stop()
-        self.patch.stop()
+        for patch in self.patches:
+            patch.stop()
 
     def start(self, name):
         self.disturbed_at[name] = self.clock()
@@ -188,6 +195,10 @@
         """Let the store answer no request for changes that is in flight."""
         self.severed = object()
 
+    def sever_links(self):
+        """Let the open links between daemons pass nothing any more."""
+        self.severed_links = object()
+
     async def cut(self, names, seconds, one_way=False, store=True):
         """Cut daemons from all others and the store."""
         names, key = frozenset(names), object()
--- a/tests/unit/daemon/configuration_network.py
+++ b/tests/unit/daemon/configuration_network.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 from papayabay_core.configuration import Configuration
-from papayabay_core.exceptions import PlatformError, ProtocolError
+from papayabay_core.exceptions import LinkLost, PlatformError
 from papayabay_daemon._internal.links import dialling
 from tests.lib.cluster_fakes import MemoryTable
 
@@ -50,6 +50,7 @@
 
     is_open = True
     unresponsive = False
+    received_at = 0.0
 
     def __init__(self, fleet, name, peer_name):
         self.fleet = fleet
@@ -59,6 +60,14 @@
         self.process = fleet.daemons[peer_name]
         self.lost = asyncio.Event()
         self.opened = fleet.loop.create_future()
+        self.severed = fleet.severed_links
+        self.since = fleet.clock()
+
+    def seconds_silent(self):
+        return self.fleet.clock() - self.received_at
+
+    def send_ping(self):
+        pass
 
     def abort(self, reason):
         self.lost.set()
@@ -75,7 +84,7 @@
             if exchange.done():
                 return exchange.result()
             if lost.done():
-                raise ProtocolError("link lost")
+                raise LinkLost("link lost")
             raise TimeoutError
         finally:
             exchange.cancel()
@@ -85,10 +94,11 @@
         await self.transfer(self.name, self.peer_name)
         if self.fleet.daemons.get(self.peer_name) is not self.process:
             self.close()
-            raise ProtocolError("link lost")
+            raise LinkLost("link lost")
         handler = self.process.links.handlers.topics[topic]
         answer = await handler(payload, self.name)
         await self.transfer(self.peer_name, self.name)
+        self.received_at = self.fleet.clock()
         return answer
 
     async def transfer(self, source, target):
@@ -96,10 +106,11 @@
         fleet = self.fleet
         lost = fleet.rng.random() < fleet.loss
         await asyncio.sleep(DELAY_S + lost * RETRANSMISSION_S)
-        if not fleet.is_open(source, target):
+        severed = self.severed is not fleet.severed_links
+        if severed or not fleet.is_open(source, target):
             fleet.loop.call_later(SILENCE_S, self.close)
             await self.lost.wait()
-            raise ProtocolError("link lost")
+            raise LinkLost("link lost")
 
     def close(self):
         self.lost.set()
