--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
@@ -1,7 +1,8 @@
 """Handles the calls and control requests received on one link."""
 
 import asyncio
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
@@ -19,7 +20,6 @@
     BodyReader,
     BodyReceiver,
     BodySender,
-    inline_part,
     remaining_parts,
 )
 
@@ -31,8 +31,7 @@
     """Do nothing when a call's body ends; the call continues."""
 
 
-@dataclass(slots=True)
-class IncomingCall:
+class IncomingCall(Struct):
     """A call that is being answered.
 
     Attributes
@@ -170,7 +169,10 @@
             the frame contains the whole body.
         """
         link = self.link
-        first, last = inline_part(answer.body, self.inline_bytes)
+        body = answer.body
+        first, last = body.first, body.rest is None
+        if len(first) > self.inline_bytes:
+            first, last = first[: self.inline_bytes], False
         try:
             confirmation = link.owner.confirmations.own_confirmation()
             frame = encode_answer(number, answer, first, last, confirmation)
