--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -83,8 +83,7 @@
     factor : float
         At least 0; 1 changes nothing.
     """
-    scaled = int(rank * factor)
-    return scaled if scaled < RANKS else RANKS - 1
+    return min(int(rank * factor), RANKS - 1)
 
 
 def per_hop_rank(random):
