Keep long details of refusals out of the cache

Cause: the cache of detail members, new since, bounds its entries but not their size. The detail of UNKNOWN_SERVICE is the name that the client sent, up to `header_bytes` long. Change: details of more than 200 characters are formatted without the cache. Conclusion: the memory of the cache is bounded by some 30 KB of text.

--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -264,6 +264,11 @@
 """Formatted once, since most answers of an overloaded daemon are refusals."""
 
 
+MAX_CACHED_DETAIL = 200
+"""Longest detail whose member is cached. Some details repeat what a client
+sent, and long ones would keep up to 128 times `header_bytes` in memory."""
+
+
 @lru_cache(maxsize=128)
 def detail_member(detail):
     """Return the member with the detail; most refusals share a few details."""
@@ -274,7 +279,9 @@
     """Return JSON problem details (RFC 9457) for an error kind, as bytes."""
     body = PROBLEM_STARTS[kind]
     if detail:
-        body += detail_member(detail)
+        is_short = len(detail) <= MAX_CACHED_DETAIL
+        member = detail_member if is_short else detail_member.__wrapped__
+        body += member(detail)
     if request_id:
         body += f', "request": {json.dumps(request_id)}'
     if retry_after_ms:
--- a/tests/unit/core/test_errors.py
+++ b/tests/unit/core/test_errors.py
@@ -9,6 +9,7 @@
     Effect,
     ErrorKind,
     Retry,
+    detail_member,
     problem_body,
 )
 
@@ -138,6 +139,19 @@
         known = (problem["detail"], problem["request"], problem["retry_after_ms"])
         self.assertEqual(known, ("full", "r-1", 250))
 
+    def test_long_details_are_not_cached(self):
+        """Guards against memory that clients fill with long service names.
+
+        The name of an unknown service, as long as `header_bytes` allows, is
+        the detail of its refusal.
+        """
+        before = detail_member.cache_info().currsize
+        for number in range(300):
+            text = f"{number:0>1000}"
+            problem = json.loads(problem_body(ErrorKind.UNKNOWN_SERVICE, text))
+            self.assertEqual(problem["detail"], text)
+        self.assertEqual(detail_member.cache_info().currsize, before)
+
     def test_exception_gives_the_answer_of_its_kind(self):
         error = CallError(ErrorKind.LEAVING, "draining")
         self.assertIs(error.answer, ERROR_ANSWERS[ErrorKind.LEAVING])
