Measure a request's header as it is forwarded, as before

Cause: the exact size is computed only if the received segments exceed the limit. Change: the bound from the segments counts one more byte for each field. Measured result: the new test of tests.unit.daemon.test_doors_limits fails without the change (status 200, not 431) and passes with it.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/incoming.py
@@ -109,8 +109,9 @@
         HEADERS_TOO_LARGE, or BAD_REQUEST.
     """
     raw_headers = request.fields
-    # The exact size is computed only where the segments allow an excess.
-    if request.max_head_bytes > limits.header_bytes:
+    # The exact size is computed only where the segments allow an excess. It
+    # counts a space after each colon, which the client may have left out.
+    if request.max_head_bytes + len(raw_headers) > limits.header_bytes:
         size = sum([len(name) + len(value) + 4 for name, value in raw_headers])
         if size > limits.header_bytes:
             raise CallError(ErrorKind.HEADERS_TOO_LARGE)
--- a/tests/unit/daemon/test_doors_limits.py
+++ b/tests/unit/daemon/test_doors_limits.py
@@ -25,6 +25,18 @@
             self.assertEqual(status, 431)
             self.assertIn(b"headers-too-large", body)
 
+    async def test_headers_are_measured_as_they_are_forwarded(self):
+        """Guards against forwarding a head that the next hop refuses.
+
+        Fields without a space after the colon are shorter on the wire than
+        they are when they are forwarded.
+        """
+        raw = request(headers=[("Papayabay-Service", "svc")])
+        raw = raw[:-2] + b"ab:c\r\n" * 150 + b"\r\n"
+        self.assertLess(len(raw), 1_100)
+        door = await self.open(FakeFlow(), header_bytes=1_100)
+        self.assertEqual(parse(await exchange(door.port, raw))[0], 431)
+
     async def test_too_large_headers_in_two_segments_are_refused(self):
         """Guards against a head that exceeds the limit in no single segment.
 
