Release the slot of a streamed answer that nobody reads

Cause: an async generator released the slot in its `finally` clause, which does not run if the generator is closed or dropped before its first part: the client or the link is lost between the head of the answer and its body. Change: `RunBody`, an iterator of its own, reports the end of a body once, also if it is closed unread or dropped. It refers to a copy of the answer without its body, as a reference cycle would delay the release. Conclusion: a streamed answer always releases its slot.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -1,8 +1,13 @@
 """Callee side of a call: admission, the run on the target and the answer."""
 
+from copy import copy
+from functools import partial
+
+from papayabay_core.calls import Body
 from papayabay_core.errors import KIND_LABELS, CallError, ErrorKind
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
+from papayabay_daemon._internal.calls.run_body import RunBody
 from papayabay_daemon._internal.lifetime.ranks import per_hop_rank
 
 
@@ -104,7 +109,11 @@
         if body.rest is None:
             self.finish(token, live, ticket, answer)
         else:
-            body.rest = self.finish_after(body.rest, token, live, ticket, answer)
+            # The slot stays in use as long as the target sends. If it were
+            # released with the headers, large downloads would accumulate in
+            # the target beyond its limit without admission noticing.
+            end_run = partial(self.end_run, token, live, ticket, without_body(answer))
+            body.rest = RunBody(body.rest, end_run)
         # A target that failed because one of its own calls failed would fail
         # elsewhere too, so no daemon on the caller's side needs to retry.
         if live.downstream_failed and answer.failed:
@@ -112,20 +121,9 @@
         answer.credits_left = live.account.close()
         answer.load = self.components.admission.load(live.call.path_key)
 
-    async def finish_after(self, rest, token, live, ticket, answer):
-        """Yield a streamed body, and end the call when the body ends.
-
-        The slot stays in use as long as the target sends. If it were released
-        with the headers, large downloads would accumulate in the target
-        beyond its limit without admission noticing.
-        """
-        finished_answer = None
-        try:
-            async for part in rest:
-                yield part
-            finished_answer = answer
-        finally:
-            self.finish(token, live, ticket, finished_answer)
+    def end_run(self, token, live, ticket, answer, complete):
+        """End a call whose streamed answer was complete or broke off."""
+        self.finish(token, live, ticket, answer if complete else None)
 
     def finish(self, token, live, ticket, answer):
         """Release the slot and remove the call from the call tree."""
@@ -139,6 +137,17 @@
             self.tree.slack.end_run(live, now())
 
 
+def without_body(answer):
+    """Return a copy of an answer without its body.
+
+    A body that referred to its own answer would be freed late, and with it
+    the slot of an answer that is dropped.
+    """
+    copied = copy(answer)
+    copied.body = Body()
+    return copied
+
+
 def refusal_inputs(call, error, load):
     """Return the inputs of the decision line on a refused call."""
     return {
