Keep paths without calls from filling the table of runs

The table of work had only paths that make calls; now each path that runs takes one of its 256 places, and a path that makes calls finds none if 256 others ran first. Its work is then unknown for good. Change: when the table is full, a path that makes calls displaces one that never made any. Measured result: the new test of tests.unit.daemon.test_calls_chains fails without the change and passes with it. Conclusion: paths that make calls are tracked as before, up to 256 of them.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_counts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_counts.py
@@ -28,12 +28,15 @@
         Runs without a failure.
     calls : dict of str to int
         By child path, the calls that the complete runs made.
+    makes_calls : bool
+        Whether any run has made a call, or a peer has reported one.
     """
 
     runs: int = 0
     callers: dict[str, int] = field(default_factory=dict)
     complete_runs: int = 0
     calls: dict[str, int] = field(default_factory=dict)
+    makes_calls: bool = False
 
     def mean_calls(self):
         """Yield each child path with its mean number of calls in a run."""
@@ -81,7 +84,7 @@
         """
         path = self.paths.get(path_key)
         if path is None:
-            if len(self.paths) >= MAX_PATHS:
+            if len(self.paths) >= MAX_PATHS and not (called and self.evict()):
                 return
             path = self.paths[path_key] = PathRuns()
         path.runs += 1
@@ -95,8 +98,21 @@
             path.complete_runs //= 2
             path.calls = halved(path.calls)
 
+    def evict(self):
+        """Remove a path that has made no calls; return whether there was one.
+
+        Nobody reads the counts of such paths, so they must not keep a path
+        that makes calls out of the table.
+        """
+        for path_key, path in self.paths.items():
+            if not path.makes_calls:
+                del self.paths[path_key]
+                return True
+        return False
+
     def count_calls(self, path, called, is_complete):
         """Count the calls of one run."""
+        path.makes_calls = True
         for child, count in called.items():
             path.callers[child] = path.callers.get(child, 0) + 1
             if not is_complete:
@@ -111,10 +127,11 @@
         """Take over a peer's counts of a path without calls here so far."""
         path = self.paths.get(path_key)
         if path is None:
-            if len(self.paths) >= MAX_PATHS:
+            if len(self.paths) >= MAX_PATHS and not self.evict():
                 return
             path = self.paths[path_key] = PathRuns()
         if not path.calls:
+            path.makes_calls = True
             path.complete_runs = runs
             path.calls = dict(islice(calls.items(), MAX_CHILDREN))
 
--- a/tests/unit/daemon/test_calls_chains.py
+++ b/tests/unit/daemon/test_calls_chains.py
@@ -69,6 +69,19 @@
         self.assertEqual(self.level(), 500)
         self.assertNotIn(PRICES, self.counts.paths[PATH].callers)
 
+    def test_paths_without_calls_leave_room_for_others(self):
+        """Guards against a path whose work is unknown for ever.
+
+        A service has as many paths without outgoing calls as the table takes,
+        and they are called first.
+        """
+        for number in range(run_counts.MAX_PATHS):
+            self.run_path(1, path_key=f"shop/{number}")
+        self.run_path(chains.MIN_RUNS, STOCK)
+        self.assertEqual(self.level(), 500)
+        self.assertEqual(self.counts.paths[PATH].calls, {STOCK: chains.MIN_RUNS})
+        self.assertEqual(len(self.counts.paths), run_counts.MAX_PATHS)
+
     def test_memory_is_bounded(self):
         for number in range(run_counts.DECAY_RUNS):
             self.counts.record(PATH, {f"service/{number}": 1}, True)
