Report a dropped body through the event loop of its own thread

Cause: the garbage collector may run in a thread other than the event loop's, and `call_soon` may only be called in the latter. Change: `RunBody.__del__` uses `call_soon_threadsafe`. Conclusion: a dropped body is reported in any thread.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_body.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_body.py
@@ -50,6 +50,7 @@
             on_end(complete)
 
     def __del__(self):
-        # Reported by the event loop, as this may run within any function.
+        # Reported by the event loop, as the garbage collector may call this
+        # within any function, in any thread.
         if self.on_end is not None and not self.loop.is_closed():
-            self.loop.call_soon(self.on_end, False)
+            self.loop.call_soon_threadsafe(self.on_end, False)
