Build a whole answer apart from sending it again

`head` also read the version of a request that may be None, as it is there. Each repeated heartbeat would end its connection with an AttributeError. Change: `whole_message` is back, and `head` allows for an answer without a request.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/doors/response.py
@@ -102,12 +102,7 @@
             return self.send_stream()
         if connection.closed or connection.transport.is_closing():
             raise ConnectionResetError(CLOSED)
-        if self.has_body():
-            # One write sends head and body.
-            head = self.head(f"Content-Length: {len(body.first)}\r\n", False)
-            connection.transport.write(head + body.first)
-        else:
-            self.write_bare_head()
+        connection.transport.write(self.whole_message())
         return None
 
     async def send_stream(self):
@@ -132,15 +127,22 @@
         is_head = self.request is not None and self.request.method == "HEAD"
         return not is_head and self.answer.status not in WITHOUT_BODY
 
-    def write_bare_head(self):
-        """Write the head of an answer that no body follows."""
-        self.connection.transport.write(self.head("", self.answer.status != 204))
+    def whole_message(self):
+        """Return head and body together, so that one write sends both."""
+        if not self.has_body():
+            return self.bare_head()
+        body = self.answer.body.first
+        return self.head(f"Content-Length: {len(body)}\r\n", False) + body
+
+    def bare_head(self):
+        """Return the head of an answer that no body follows."""
+        return self.head("", self.answer.status != 204)
 
     async def write_stream(self):
         """Write the head and a streamed body."""
         connection = self.connection
         if not self.has_body():
-            self.write_bare_head()
+            connection.transport.write(self.bare_head())
             return
         framing = ""
         length = declared_length(self.answer.headers)
@@ -172,7 +174,7 @@
         last = ""
         if not self.keep_alive:
             last = "Connection: close\r\n"
-        elif self.request.version < "1.1":
+        elif self.request is not None and self.request.version < "1.1":
             last = "Connection: keep-alive\r\n"
         final = self.dialect.final_header_lines(answer)
         return f"{head}{date}{final}{framing}{last}\r\n".encode(*HEADER_CODEC)
