--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_counts.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/run_counts.py
@@ -33,6 +33,8 @@
     first_children : set of str
         Child paths known before `MIN_RUNS` runs have ended: those that a run
         in flight has called, and the usual ones of a peer.
+    makes_calls : bool
+        Whether any run has made a call, or a peer has reported one.
     """
 
     runs: int = 0
@@ -40,6 +42,7 @@
     complete_runs: int = 0
     calls: dict[str, int] = field(default_factory=dict)
     first_children: set[str] = field(default_factory=set)
+    makes_calls: bool = False
 
     def mean_calls(self):
         """Yield each child path with its mean number of calls in a run."""
@@ -68,17 +71,24 @@
         path_key, child : str
             Paths of the run and of its call.
         """
-        path = self.find(path_key)
+        path = self.find(path_key, makes_calls=True)
         if path is None or path.runs >= MIN_RUNS:
             return
+        path.makes_calls = True
         if len(path.first_children) < MAX_CHILDREN:
             path.first_children.add(child)
 
-    def find(self, path_key):
-        """Return a path's runs; None for a new one beyond `MAX_PATHS`."""
+    def find(self, path_key, makes_calls):
+        """Return a path's runs; None for a new one beyond `MAX_PATHS`.
+
+        A path that makes calls takes the place of one that makes none.
+        """
         path = self.paths.get(path_key)
-        if path is None and len(self.paths) < MAX_PATHS:
-            path = self.paths[path_key] = PathRuns()
+        if path is not None:
+            return path
+        if len(self.paths) >= MAX_PATHS and not (makes_calls and self.evict()):
+            return None
+        path = self.paths[path_key] = PathRuns()
         return path
 
     def run_ended(self, live, answer):
@@ -106,7 +116,7 @@
             Number of calls by child path.
         is_complete : bool
         """
-        path = self.find(path_key)
+        path = self.find(path_key, makes_calls=bool(called))
         if path is None:
             return
         path.runs += 1
@@ -120,8 +130,21 @@
             path.complete_runs //= 2
             path.calls = halved(path.calls)
 
+    def evict(self):
+        """Remove a path that has made no calls; return whether there was one.
+
+        Nobody reads the counts of such paths, so they must not keep a path
+        that makes calls out of the table.
+        """
+        for path_key, path in self.paths.items():
+            if not path.makes_calls:
+                del self.paths[path_key]
+                return True
+        return False
+
     def count_calls(self, path, called, is_complete):
         """Count the calls of one run."""
+        path.makes_calls = True
         for child, count in called.items():
             path.callers[child] = path.callers.get(child, 0) + 1
             if not is_complete:
@@ -134,9 +157,10 @@
 
     def adopt(self, path_key, runs, calls):
         """Take over a peer's counts of a path without calls here so far."""
-        path = self.find(path_key)
+        path = self.find(path_key, makes_calls=True)
         if path is None or path.calls:
             return
+        path.makes_calls = True
         path.complete_runs = runs
         path.calls = dict(islice(calls.items(), MAX_CHILDREN))
         usual = (child for child, count in path.calls.items() if 2 * count >= runs)
