--- a/packages/papayabay-core/src/papayabay_core/errors.py
+++ b/packages/papayabay-core/src/papayabay_core/errors.py
@@ -31,6 +31,11 @@
         self.text = text
 
 
+NOT_RUN = Effect.NOT_RUN
+"""For code that runs for each request: a member takes six times as long to
+look up in its `Enum`."""
+
+
 class Retry(Enum):
     """Retry advice to the caller."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/candidates.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/candidates.py
@@ -13,8 +13,8 @@
 class CandidateOwners:
     """The owners of the slots of each account's limit.
 
-    They are looked up again only after a change of the ring or of the account:
-    the look-up was a third of what a token request cost at its sender.
+    They are looked up again only after a change of the ring or of the account,
+    as the look-up takes a third of a token request's time at its sender.
 
     Parameters
     ----------
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -128,8 +128,7 @@
             When the answered call was sent.
         """
         now = self.clock()
-        if report.slowdown is not None:
-            self.host_speed.record(report.slowdown, now)
+        self.host_speed.record(report.slowdown, now)
         if report.rate_is_known:
             limit, rate = self.rate_limit, report.rate_per_s
             if rate is not None or not limit.is_unlimited:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -123,15 +123,10 @@
 
     def useful_wait(self, call, now):
         """Return how long a call can wait and its request still be in time."""
-        # As `low_time` without its call: this is asked for several calls
-        # whenever one is queued.
-        times = self.control.times.paths.get(call.path_key)
-        low_s = times.low if times else 0.0
-        useful_s = call.expires_at - call.rest_s - low_s - now
+        useful_s = call.expires_at - call.rest_s - self.low_time(call) - now
         if call.depth:
             return useful_s
-        due_at = call.expires_at if call.due_at is None else call.due_at
-        return min(useful_s, due_at - low_s - now)
+        return min(useful_s, self.start_by(call) - now)
 
     def is_feasible(self, waiting, now):
         """Whether a call can be in time behind the calls queued ahead."""
@@ -219,8 +214,6 @@
     def level(self, now):
         """Return the threshold by which callers' daemons refuse early."""
         level = self.threshold.current(now)
-        if level >= LAST_CRITICAL_LEVEL and self.critical_refused_at is None:
-            return level
         if level < LAST_CRITICAL_LEVEL:
             if self.critical_refused_at is None:
                 log.notice("the admission threshold now refuses some critical calls")
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/dispatch.py
@@ -6,7 +6,7 @@
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.decision_log import outcome_of
-from papayabay_daemon._internal.retries import RETRY, Attempts
+from papayabay_daemon._internal.retries import Attempts
 
 
 class Dispatcher:
@@ -57,12 +57,10 @@
             answer = await self.attempt(member, call, account, attempts)
             attempts.ended(member.name, answer)
             decision = self.retries.decide(call, answer, attempts, account)
-            should_retry = decision.reason == RETRY
+            should_retry = decision.should_retry
             if should_retry or answer.kind is not None:
                 self.log_decision(call, answer, decision)
             if not should_retry:
-                if attempts.made == 1:
-                    return answer
                 return combine_attempts(answer, attempts.last_possibly_run)
             components.counters.retries += 1
             await asyncio.sleep(decision.backoff_s)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -3,7 +3,7 @@
 import asyncio
 from functools import partial
 
-from papayabay_core.errors import KIND_NAMES, CallError, Effect, ErrorKind
+from papayabay_core.errors import KIND_NAMES, NOT_RUN, CallError, ErrorKind
 from papayabay_core.utils.clock import now
 from papayabay_core.utils.identifiers import new_identifier
 from papayabay_daemon._internal.calls.answers import (
@@ -16,9 +16,6 @@
 from papayabay_daemon._internal.lifetime.ranks import best_rank
 from papayabay_daemon._internal.retries import CreditAccount, ReturnTimes
 
-NOT_RUN = Effect.NOT_RUN
-"""Read for each request; an `Enum` takes six times as long to look it up."""
-
 
 class CallFlow(OutgoingCalls):
     """Runs callers' requests and the outgoing calls of the daemon's target.
@@ -58,7 +55,6 @@
         self.objectives = objectives
         self.pause = pause
         self.entries = EntryCalls(components)
-        self.entry_call = self.entries.create
         self.draining = False
         self.in_flight = 0
         self.idle = asyncio.Event()
@@ -173,7 +169,7 @@
         if incoming.call_token:
             live = self.tree.find(incoming.call_token)
             return self.run_child(incoming, rule, live)
-        call = self.entry_call(incoming, rule, request_id, identity)
+        call = self.entries.create(incoming, rule, request_id, identity)
         if identity is not None:
             incoming.account = identity.account.name
         decisions = self.components.policy().decisions
@@ -255,7 +251,7 @@
                 return self.refuse_without_key()
         if account is None:
             if call.idempotency_key:
-                return self.dispatch(call, None)
+                return self.dispatch(call)
             account = CreditAccount(call.credits)
         return self.dispatcher.dispatch(call, account)
 
@@ -263,8 +259,11 @@
         """Refuse a call that may run at most once and has no key."""
         raise CallError(ErrorKind.KEY_MISSING)
 
-    async def dispatch(self, call, account):
-        """Dispatch a call with an idempotency key; see `run`."""
+    async def dispatch(self, call, account=None):
+        """Dispatch a call with an idempotency key; see `run`.
+
+        Also one that a peer forwarded and the gate has admitted.
+        """
         if account is None:
             account = self.entry_account(call)
         return await self.dispatcher.dispatch(call, account)
@@ -300,10 +299,6 @@
         finally:
             self.end_request()
 
-    async def dispatch_forwarded(self, call):
-        """Dispatch a forwarded call that the gate has admitted."""
-        return await self.dispatcher.dispatch(call, self.entry_account(call))
-
     def count_answer(self, rule, answer, elapsed):
         """Count a request's answer by error kind and for its objective."""
         name = KIND_NAMES[answer.kind] if answer.kind else "ANSWERED"
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/incoming.py
@@ -6,9 +6,9 @@
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.exceptions import ProtocolError
-from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.links.call_frames import decode_call, encode_answer
+from papayabay_daemon._internal.links.clock_offset import now_us
 from papayabay_daemon._internal.links.codec import encode_reply
 from papayabay_daemon._internal.links.limits import (
     MAX_CALLS_PER_LINK,
@@ -20,6 +20,7 @@
     BodyReader,
     BodyReceiver,
     BodySender,
+    inline_part,
     remaining_parts,
 )
 
@@ -101,7 +102,7 @@
         link = self.link
         number = message.id
         self.register_number(number)
-        excess = link.offset.observe(int(now() * 1_000_000), message.sent_at_us)
+        excess = link.offset.observe(now_us(), message.sent_at_us)
         call = decode_call(message, excess)
         link.used = True
         link.counters.calls_received += 1
@@ -169,10 +170,7 @@
             the frame contains the whole body.
         """
         link = self.link
-        body = answer.body
-        first, last = body.first, body.rest is None
-        if len(first) > self.inline_bytes:
-            first, last = first[: self.inline_bytes], False
+        first, last = inline_part(answer.body, self.inline_bytes)
         try:
             confirmation = link.owner.confirmations.own_confirmation()
             frame = encode_answer(number, answer, first, last, confirmation)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/outgoing.py
@@ -20,6 +20,7 @@
     BodyReader,
     BodyReceiver,
     BodySender,
+    inline_part,
     remaining_parts,
 )
 
@@ -108,11 +109,8 @@
         remaining = call.expires_at - sent_at
         if remaining <= 0.0:
             raise CallError(ErrorKind.EXPIRED_UNSENT)
-        self.last_number = number = self.last_number + 1
-        body = call.body
-        first, last = body.first, body.rest is None
-        if len(first) > self.inline_bytes:
-            first, last = first[: self.inline_bytes], False
+        number = self.next_number()
+        first, last = inline_part(call.body, self.inline_bytes)
         stamp_us = int(sent_at * 1_000_000)
         frame = encode_call(number, call, first, last, stamp_us, purpose)
         if len(frame) > MAX_FRAME_BYTES:
@@ -130,7 +128,7 @@
         link.used = link.stamped = True
         link.counters.calls_sent += 1
         if not last:
-            self.start_sending(number, entry, body, len(first))
+            self.start_sending(number, entry, call.body, len(first))
         try:
             return await future
         except asyncio.CancelledError:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/streams.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/links/streams.py
@@ -231,3 +231,10 @@
     finally:
         if body.rest is not None:
             await close_parts(body.rest)
+
+
+def inline_part(body, inline_bytes):
+    """Return the bytes to send inline and whether they are the whole body."""
+    if len(body.first) <= inline_bytes:
+        return body.first, body.rest is None
+    return body.first[:inline_bytes], False
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/metrics/objectives.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from papayabay_core.calls import SERVER_ERROR
-from papayabay_core.errors import Effect, ErrorKind
+from papayabay_core.errors import NOT_RUN, ErrorKind
 from papayabay_core.utils.clock import now
 
 MINUTE_SECONDS = 60.0
@@ -19,8 +19,6 @@
 MAX_PATHS = 256
 """Most paths that are counted, which bounds the memory."""
 
-NOT_RUN = Effect.NOT_RUN
-"""Read for each refusal; an `Enum` takes six times as long to look it up."""
 GOOD, FAILED, REFUSED, SLOW = range(4)
 OUTCOMES = ("good", "failed", "refused", "slow")
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/decision.py
@@ -6,9 +6,8 @@
 from msgspec import Struct, field
 
 from papayabay_core.calls import SERVER_ERROR, Answer
-from papayabay_core.errors import ERROR_ANSWERS, Effect, ErrorKind
+from papayabay_core.errors import ERROR_ANSWERS, NOT_RUN, ErrorKind
 
-NOT_RUN = Effect.NOT_RUN
 TARGET_REJECTED = ErrorKind.TARGET_REJECTED
 OVERLOADED = ErrorKind.OVERLOADED
 """Read for each attempt; a member of an `Enum` is looked up in Python."""
@@ -291,4 +290,4 @@
 
 def is_unsafe(call, answer):
     """Return whether a retry might double the call's effect."""
-    return answer.effect is not Effect.NOT_RUN and not call.idempotent
+    return answer.effect is not NOT_RUN and not call.idempotent
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/return_times.py
@@ -3,7 +3,7 @@
 import logbook
 
 from papayabay_core.calls import SERVER_ERROR
-from papayabay_core.errors import CallError, Effect, ErrorKind
+from papayabay_core.errors import NOT_RUN, CallError, ErrorKind
 from papayabay_core.utils.clock import now, whole_ms
 from papayabay_daemon._internal.retries.class_backlog import (
     TIME_SLOT_SECONDS,
@@ -11,8 +11,6 @@
 )
 from papayabay_daemon._internal.retries.reservations import Reservations, request_digest
 
-NOT_RUN = Effect.NOT_RUN
-"""Read for each request; an `Enum` takes six times as long to look it up."""
 REFUSED_FOR_LOAD = (ErrorKind.OVERLOADED, ErrorKind.RETRIES_SPENT)
 MAX_WAIT_SHARE = 1 / 3
 """Longest Retry-After, as a share of the remaining time; clients that were
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -244,7 +244,7 @@
             self.objectives,
             self.pause_detector,
         )
-        self.idempotency_gate.set_forwarded_dispatch(self.flow.dispatch_forwarded)
+        self.idempotency_gate.set_forwarded_dispatch(self.flow.dispatch)
         self.idempotency_gate.set_claim_precheck(self.router.check)
         self.links.handle_calls(receiver.receive, self.flow.handle_forwarded)
 
--- a/tests/unit/daemon/target_client_support.py
+++ b/tests/unit/daemon/target_client_support.py
@@ -27,6 +27,12 @@
     await reader.read()
 
 
+def announcement(**changes):
+    """Return an announcement of a target, with some values changed."""
+    values = {"service": "svc", "host": "127.0.0.1", "port": 9, "slots": 4}
+    return Announcement(**{**values, "connections": 8, "lease_ms": 1000, **changes})
+
+
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
--- a/tests/unit/daemon/test_account_calls.py
+++ b/tests/unit/daemon/test_account_calls.py
@@ -55,7 +55,7 @@
     def enter(self, **changes):
         policy = account_policy(**changes)
         identity = Identity(policy.accounts.by_name["small"], "digest")
-        return flow_of(policy).entry_call(request(), rule_of(policy), "r", identity)
+        return flow_of(policy).entries.create(request(), rule_of(policy), "r", identity)
 
     def test_the_class_of_the_account_overrides_that_of_the_path(self):
         call = self.enter(small={"importance": "critical"})
@@ -69,7 +69,7 @@
         flow, rule = flow_of(policy), rule_of(policy)
         levels = {
             importance: [
-                flow.entry_call(
+                flow.entries.create(
                     request(), replace(rule, importance=importance), f"r{n}", identity
                 ).level
                 for n in range(50)
--- a/tests/unit/daemon/test_account_shares.py
+++ b/tests/unit/daemon/test_account_shares.py
@@ -235,7 +235,7 @@
             deadline_ms=None, idempotency_key="", service="svc", method="GET",
             path="/read", headers=[], body=Body(),
         )  # fmt: skip
-        return flow.entry_call(incoming, rule_of(policy), "r", identity).rank
+        return flow.entries.create(incoming, rule_of(policy), "r", identity).rank
 
     def test_the_policy_key_decides(self):
         """Guards against changed ranks with the default."""
--- a/tests/unit/daemon/test_calls_slack.py
+++ b/tests/unit/daemon/test_calls_slack.py
@@ -79,7 +79,7 @@
             objective=Objective(good_share=0.9, latency_ms=30),
         )
         identity = Identity(policy.accounts.by_name["small"], "digest")
-        return self.flow.entry_call(request(), rule, "r", identity), rule
+        return self.flow.entries.create(request(), rule, "r", identity), rule
 
     def test_path_class_is_kept_where_the_account_sets_the_class(self):
         """Guards against unimportant paths that go first by their depth."""
--- a/tests/unit/daemon/test_target_registry.py
+++ b/tests/unit/daemon/test_target_registry.py
@@ -5,7 +5,7 @@
 import unittest
 
 from papayabay_daemon._internal.doors import TargetDoor
-from papayabay_daemon._internal.target import Announcement, TargetRegistry
+from papayabay_daemon._internal.target import TargetRegistry
 from papayabay_daemon._internal.target.registry import MAX_CONNECT_FAILURES
 from tests.unit.daemon.door_fakes import (
     FakeClock,
@@ -16,11 +16,7 @@
     request,
     settings,
 )
-
-
-def announcement(**changes):
-    values = {"service": "svc", "host": "127.0.0.1", "port": 9, "slots": 4}
-    return Announcement(**{**values, "connections": 8, "lease_ms": 1000, **changes})
+from tests.unit.daemon.target_client_support import announcement
 
 
 class RegistryTests(unittest.TestCase):
--- a/tests/unit/daemon/test_target_start.py
+++ b/tests/unit/daemon/test_target_start.py
@@ -7,14 +7,10 @@
 from papayabay_core.policy.document import PolicyDocument
 from papayabay_core.policy.rules import Policy
 from papayabay_core.settings import TargetSettings
-from papayabay_daemon._internal.target import Announcement, TargetRegistry
+from papayabay_daemon._internal.target import TargetRegistry
 from papayabay_daemon._internal.target.discovery import TargetDiscovery
 from tests.unit.daemon.door_fakes import FakeClock
-
-
-def announcement(**changes):
-    values = {"service": "svc", "host": "127.0.0.1", "port": 9, "slots": 4}
-    return Announcement(**{**values, "connections": 8, "lease_ms": 1000, **changes})
+from tests.unit.daemon.target_client_support import announcement
 
 
 class TargetStartTests(unittest.TestCase):
--- a/tests/unit/daemon/test_work_order.py
+++ b/tests/unit/daemon/test_work_order.py
@@ -98,7 +98,7 @@
     def priority(self, path_key, **decisions):
         flow = self.flow(**decisions)
         for key in (HEAVY, path_key):
-            call = flow.entry_call(self.incoming, self.rule(key), "id")
+            call = flow.entries.create(self.incoming, self.rule(key), "id")
         return call.importance, call.rank
 
     def test_rank_is_scaled_by_the_work_of_the_path(self):
--- a/tests/unit/platform/test_request_identity.py
+++ b/tests/unit/platform/test_request_identity.py
@@ -24,7 +24,7 @@
     rule = policy.rule_for(incoming.service, incoming.method, incoming.path)
     parts = SimpleNamespace(policy=lambda: policy)
     flow = CallFlow(parts, None, None, None, None, None, None)
-    return flow.entry_call(incoming, rule, incoming.request_id)
+    return flow.entries.create(incoming, rule, incoming.request_id)
 
 
 class IdentityTests(unittest.TestCase):
