Let both targets answer before a test kills a daemon

Cause: until its first answer a target gets three calls at a time, and its daemon holds the others. Killed then, it loses calls that its target never ran, which the test took for calls on another daemon: 3 calls had run of 7 that failed. Change: the test sends as many calls at once as its load does, and begins the load when they are answered. No assertion has changed. Conclusion: a fault of the test.

--- a/tests/functional/test_faults_daemons.py
+++ b/tests/functional/test_faults_daemons.py
@@ -131,6 +131,14 @@
         self.assertEqual(code, 0)
         self.assertEqual({status for _, status, _, _ in results}, {200})
 
+    async def reach_all_targets(self):
+        """Send so many calls at once that each target answers some.
+
+        Until its first answer a target gets three calls at a time, and its
+        daemon holds the others: if it is killed, they fail without a run.
+        """
+        await asyncio.gather(*(self.call("entry-0") for _ in range(CALLERS)))
+
     async def test_sigkill_loses_only_calls_in_flight_on_the_daemon(self):
         """Guards against a killed daemon that fails calls on other daemons.
 
@@ -139,6 +147,7 @@
         fail; if a forwarded call is taken for unsent, it is reported as
         `not-run`.
         """
+        await self.reach_all_targets()
         load = self.start_load("entry-0", "POST")
         await self.wait_busy(f"{SERVICE}-0")
         self.fleet.kill(f"{SERVICE}-0")
