Let case 2 send by the clock, so that it ends in time

Cause: it sent a fixed number of requests, and each pause was longer than asked for, so a slow machine could have taken it beyond 120 s.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,6 +8,7 @@
 import os
 import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -157,10 +158,12 @@
             ),
         ]
         results, tasks = {}, []
-        for step in range(int(SENDING_SECONDS / PERIOD_SECONDS)):
-            service = names[step % 2]
-            machine = deployment.machines[step // 2 % len(deployment.machines)]
-            task = order(machine, service, step + 1, record, results)
+        ends_at = time.monotonic() + SENDING_SECONDS
+        while time.monotonic() < ends_at:
+            number = len(tasks)
+            service = names[number % 2]
+            machine = deployment.machines[number // 2 % len(deployment.machines)]
+            task = order(machine, service, number + 1, record, results)
             tasks.append(asyncio.create_task(task))
             await asyncio.sleep(PERIOD_SECONDS)
         for disruption in disruptions:
