Send no request again on a connection on which it was refused

Cause: an answer was attributed to an attempt by the request's id, which all attempts of a request share. A target that refuses with free slots may be tried again, and the pool hands out the connection used last, the one of the refusal. If the target sends that refusal a second time, late, the copy is read as the answer to the new attempt. The daemon then takes a request that runs for one that does not, and sends it once more or answers 503.

Change: the pool keeps the ids refused on each connection, and passes such a connection over for the same request. Other requests use it as before; a copy then has another id than the one waited for, and is skipped. A pool at its limit replaces the connection that was idle longest, as otherwise the request would wait for a connection until its deadline. After 64 refusals a connection is closed, which bounds the ids.

Test: test_copy_of_a_refusal_is_not_the_answer_to_a_retry and test_retry_replaces_the_only_connection failed before with TARGET_REJECTED, test_number_of_kept_ids_is_limited with 1 connection instead of 2. test_shed_status_is_a_refusal_only_when_announced sent one id twice to show that a refusal leaves its connection open; it sends two ids now, and still wants one connection for both.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -79,7 +79,7 @@
         # One coroutine from here to the connection: each further one is
         # resumed once more for each call.
         try:
-            connection = pool.take_idle(started_at)
+            connection = pool.take_idle(started_at, call.request_id)
             if connection is None:
                 connection = await self.open_connection(pool, call)
                 started_at = now()
@@ -137,14 +137,14 @@
         """Return a connection; raises `CallError` when the lifetime ends."""
         try:
             with CallTimeout(call.remaining()):
-                return await self.connect(pool)
+                return await self.connect(pool, call.request_id)
         except TimeoutError:
             raise CallError(ErrorKind.EXPIRED_UNSENT) from None
 
-    async def connect(self, pool):
+    async def connect(self, pool, request_id):
         """Return a connection, and report the outcome to the registry."""
         try:
-            connection = await pool.connect()
+            connection = await pool.connect(request_id)
         except OSError as error:
             self.registry.record_connect_failure(pool.announcement)
             # A crash may be due to a call that was cancelled before it.
@@ -169,7 +169,7 @@
         if verdict is Verdict.ANSWER:
             self.record_report(pool.announcement, fields, exchange.started_at)
         else:
-            self.refuse(verdict, exchange, pool)
+            self.refuse(verdict, call, exchange, pool)
         # Header fields are decoded before the body is read, so that a field
         # that can't be forwarded fails the call at once. The length of a
         # whole body is stated anew where it is sent to the caller.
@@ -191,7 +191,7 @@
             self.crash_detector.record_answer(call)
         return Answer(status, headers, body)
 
-    def refuse(self, verdict, exchange, pool):
+    def refuse(self, verdict, call, exchange, pool):
         """Raise the `CallError` for an answer that is not forwarded."""
         message = exchange.message
         fields = message.head.first
@@ -200,6 +200,7 @@
         if verdict is Verdict.UNVERIFIED:
             detail = f"a {message.status} that can't be its own"
             raise CallError(ErrorKind.TARGET_LOST, detail)
+        pool.record_refusal(exchange.connection, call.request_id)
         exchange.discard()
         if verdict is Verdict.REPLACED:
             self.registry.mark_replaced(pool.announcement)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -11,6 +11,9 @@
 IDLE_MARGIN_SECONDS = 0.5
 """How long before the target closes an idle connection it is no longer used.
 Well above any delay on loopback, where requests could cross the close."""
+MAX_REFUSALS = 64
+"""Refused requests after which a connection is closed, since the ids of all of
+them are kept."""
 
 
 class TargetPool:
@@ -32,6 +35,8 @@
     idle : list of ClientConnection
         The one used last is at the end and taken first, so that connections
         beyond the need stay idle and expire.
+    refused_ids : dict of ClientConnection to set of str
+        Ids of the requests that were refused on each open connection.
     connecting : int
         Connection attempts in progress.
     waiters : deque of asyncio.Future
@@ -51,6 +56,7 @@
         self.idle_seconds = KEEP_ALIVE_SECONDS
         self.open = set()
         self.idle = []
+        self.refused_ids = {}
         self.connecting = 0
         self.waiters = deque()
         self.answered_at = float("-inf")
@@ -78,25 +84,38 @@
         """
         self.release(await self.open_connection())
 
-    async def connect(self):
+    async def connect(self, request_id):
         """Return a connection for exclusive use; waits until one is free.
 
+        Parameters
+        ----------
+        request_id : str
+            The connection is one on which this request was not refused.
+
         Raises
         ------
         OSError
             If no connection could be opened; nothing was sent.
         """
         while True:
-            connection = self.take_idle(now())
+            connection = self.take_idle(now(), request_id)
             if connection is not None:
                 return connection
             if len(self.open) + self.connecting < self.announcement.connections:
                 return await self.open_connection()
+            if self.idle:
+                # None of them can be used for this request, and if all others
+                # are idle too, no answer would end the wait.
+                self.idle.pop(0).abort()
             await self.wait()
 
-    def take_idle(self, at):
+    def take_idle(self, at, request_id):
         """Return the idle connection used last, or None.
 
+        A connection on which the same request was refused is passed over. A
+        faulty target may send a second copy of the refusal, which would be
+        taken for the answer to the new attempt: both bear the same id.
+
         If a request crosses the target's close of an idle connection, nothing
         shows whether the target read it, and a call that must run at most once
         could be neither retried nor answered. So connections that the target
@@ -106,15 +125,31 @@
         ----------
         at : float
             The present time on `clock.now()`.
+        request_id : str
         """
-        while self.idle:
+        passed_over = []
+        found = None
+        while self.idle and found is None:
             connection = self.idle.pop()
             if connection.closed or connection.transport.is_closing():
                 continue
-            if at - connection.idle_since <= self.idle_seconds:
-                return connection
-            connection.abort()
-        return None
+            if at - connection.idle_since > self.idle_seconds:
+                connection.abort()
+            elif request_id in self.refused_ids.get(connection, ()):
+                passed_over.append(connection)
+            else:
+                found = connection
+        self.idle.extend(reversed(passed_over))
+        return found
+
+    def record_refusal(self, connection, request_id):
+        """Keep a request from being sent again on the same connection."""
+        if connection not in self.open:
+            return
+        refused = self.refused_ids.setdefault(connection, set())
+        refused.add(request_id)
+        if len(refused) >= MAX_REFUSALS:
+            connection.unusable = True
 
     def close_idle_since(self, moment):
         """Close all idle connections if none was answered since a moment.
@@ -199,6 +234,7 @@
     def remove(self, connection):
         """Remove a connection that was closed."""
         self.open.discard(connection)
+        self.refused_ids.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
         self.wake_next_waiter()
--- a/tests/unit/daemon/door_fakes.py
+++ b/tests/unit/daemon/door_fakes.py
@@ -82,9 +82,16 @@
     return int(lines[0].split()[1]), fields, body
 
 
-def call(method="GET", path="/x", headers=(), body=None, life=BOUND_SECONDS):
+def call(
+    method="GET",
+    path="/x",
+    headers=(),
+    body=None,
+    life=BOUND_SECONDS,
+    request_id="r1",
+):
     return Call(
-        request_id="r1",
+        request_id=request_id,
         service="svc",
         method=method,
         path=path,
--- a/tests/unit/daemon/test_target_client.py
+++ b/tests/unit/daemon/test_target_client.py
@@ -124,7 +124,7 @@
         with unittest.mock.patch.object(loop, "create_connection", connect):
             for _ in range(4):
                 with self.assertRaises(ConnectionResetError):
-                    await bounded(pool.connect())
+                    await bounded(pool.connect("r1"))
         self.assertEqual((len(pool.open), pool.connecting), (0, 0))
 
     async def test_new_incarnation_does_not_cut_off_calls_in_flight(self):
--- a/tests/unit/daemon/test_target_truth.py
+++ b/tests/unit/daemon/test_target_truth.py
@@ -58,7 +58,7 @@
         target = await self.open(replying(data), shed_status=503)
         error = await self.fails(ErrorKind.TARGET_SHED)
         self.assertEqual(error.retry_after_ms, 2000)
-        await self.fails(ErrorKind.TARGET_SHED)
+        await self.fails(ErrorKind.TARGET_SHED, call(request_id="r2"))
         self.assertEqual((len(target.requests), target.accepted), (2, 1))
 
     async def test_refusal_passed_on_is_not_the_targets_answer(self):
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -9,6 +9,7 @@
 from papayabay_core.settings import TargetSettings
 from papayabay_daemon._internal.target import HttpTargetClient
 from papayabay_daemon._internal.target.dialect import TargetReport
+from papayabay_daemon._internal.target.pool import MAX_REFUSALS
 from papayabay_daemon.adapters import Announcement, Verdict
 from papayabay_platform.target_dialect import PlatformTargetDialect, load_of
 from tests.unit.daemon.door_fakes import call, settings
@@ -17,6 +18,8 @@
 ID = b"X-Papayabay-Request-Id"
 SIGNATURE = (b"X-Papayabay-Upstream-Signature", b"3e1b")
 OWN = (ID, b"r1")
+NOT_RUN = (b"X-Papayabay-Not-Run", b"1")
+FREE_SLOTS = (b"X-Papayabay-Upstream-Load", b"3,0,8")
 
 
 def announcement(**changes):
@@ -181,6 +184,68 @@
         answer = await self.run_call(call())
         self.assertEqual(answer.body.first, b"own")
 
+    async def open_repeating(self, **changes):
+        """Open a target that refuses r1 and sends each refusal twice.
+
+        The copy is sent where the answer to the next request on the connection
+        is expected. Each request on another connection, and each with another
+        id, is answered.
+        """
+        refused_on = []
+        refusal = response(503, OWN, NOT_RUN, FREE_SLOTS)
+
+        async def behave(reader, writer):
+            request_id = target.requests[-1].partition(f"{ID.decode()}: ")[2][:2]
+            if not refused_on:
+                refused_on.append(writer)
+                writer.write(refusal)
+                return
+            if writer in refused_on:
+                writer.write(refusal)
+            writer.write(response(200, (ID, request_id.encode()), SIGNATURE))
+
+        target = await self.open(behave, incarnation="i-1", **changes)
+        return target
+
+    def identified(self, request_id):
+        """Return a call whose id is sent to the target."""
+        headers = [(ID.decode(), request_id)]
+        return call("POST", headers=headers, request_id=request_id)
+
+    async def test_copy_of_a_refusal_is_not_the_answer_to_a_retry(self):
+        """Guards against a request that runs twice after a doubled refusal."""
+        target = await self.open_repeating()
+        await self.fails(ErrorKind.TARGET_REJECTED, self.identified("r1"))
+        answer = await self.run_call(self.identified("r1"))
+        self.assertEqual((answer.status, target.accepted), (200, 2))
+
+    async def test_other_requests_use_the_connection_of_a_refusal(self):
+        """Guards against a new connection after each refusal."""
+        target = await self.open_repeating()
+        await self.fails(ErrorKind.TARGET_REJECTED, self.identified("r1"))
+        answer = await self.run_call(self.identified("r2"))
+        self.assertEqual((answer.status, target.accepted), (200, 1))
+
+    async def test_retry_replaces_the_only_connection(self):
+        """Guards against a retry that waits in vain for another connection."""
+        target = await self.open_repeating(connections=1)
+        await self.fails(ErrorKind.TARGET_REJECTED, self.identified("r1"))
+        answer = await self.run_call(self.identified("r1"))
+        self.assertEqual((answer.status, target.accepted), (200, 2))
+        self.assertEqual(len(self.client.pool.open), 1)
+
+    async def test_number_of_kept_ids_is_limited(self):
+        """Guards against a target that fills the memory with refusals."""
+
+        async def behave(reader, writer):
+            writer.write(response(503, NOT_RUN))
+
+        target = await self.open(behave, incarnation="i-1")
+        for number in range(MAX_REFUSALS + 1):
+            await self.fails(ErrorKind.TARGET_SHED, self.identified(f"r{number}"))
+        self.assertEqual(target.accepted, 2)
+        self.assertEqual(list(map(len, self.client.pool.refused_ids.values())), [1])
+
     async def test_reports_are_taken_from_the_target_itself_only(self):
         """A late answer, or one of another process, told of the target."""
         fields = (b"Server-Limit", b"3.6"), (b"Server-Leaving", b"1")
