Limit bytes from a server that never become an answer

The head of an answer was limited, but the parser also accepts blank lines, interim answers, chunk sizes and extensions of any length, and keeps a trailer field in memory until it ends. A call to such a target lasted until its deadline, with a daemon that did nothing but read.

Change: a client connection counts the bytes since a segment last ended a head or had a part of a body, and is closed above header_bytes. The call fails as TARGET_LOST, since it may have run. Interim answers and the head after them now share the limit unless the head ends in one segment.

Test: test_bytes_that_never_end_an_answer_are_limited failed before for blank lines, interim answers, chunk size, chunk extension and trailer (100,000 of 100,000 bytes read, 16,384 allowed and one segment); test_endless_bytes_that_are_no_answer_end_the_call, over a socket, for blank lines, chunk extension and trailer. The tests of long bodies in small chunks and of endless bodies passed before as well.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -52,6 +52,11 @@
         Ends the wait of the reader.
     busy : bool
         Whether a request was sent whose answer has not been read completely.
+    advanced : bool
+        Whether the current segment ended a head or has a part of a body.
+    framing_bytes : int
+        Bytes of the latest segments that did neither: incomplete heads,
+        interim answers, chunk extensions, trailers.
     unusable : bool
         Whether further bytes can no longer be attributed to a request.
     idle_since : float
@@ -72,6 +77,8 @@
         self.error = None
         self.bodiless = False
         self.busy = False
+        self.advanced = False
+        self.framing_bytes = 0
         self.unusable = False
         self.idle_since = 0.0
 
@@ -134,13 +141,18 @@
         self.on_lost(self)
 
     def data_received(self, data):
-        """Parse received bytes; abort if no request is waiting for them."""
+        """Parse received bytes; abort if no request is waiting for them.
+
+        A faulty server may send bytes that never become an answer, without
+        end. The parser accepts blank lines, interim answers, and chunk sizes
+        and trailers of any length, so the sum of such bytes is limited here.
+        """
         if self.unusable:
             return
         if not self.busy:
             self.abort()
             return
-        within_head = self.in_head
+        self.advanced = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -150,10 +162,12 @@
         if len(self.fields) > MAX_HEADER_FIELDS:
             self.abort_with("an answer has too many header fields")
             return
-        if within_head and self.in_head:
-            self.head_bytes += len(data)
-            if self.head_bytes > self.header_bytes:
-                self.abort_with("the head of an answer is too long")
+        if self.advanced:
+            self.framing_bytes = 0
+            return
+        self.framing_bytes += len(data)
+        if self.framing_bytes > self.header_bytes:
+            self.abort_with("the head or the trailer of an answer is too long")
 
     def on_header(self, name, value):
         """Add a field. Called for each field, so it does nothing else."""
@@ -174,6 +188,7 @@
         head = Head(fields)
         if status < FIRST_FINAL_STATUS:
             return
+        self.advanced = True
         self.message = Message(status, head, Payload(self))
         self.delivered = False
         if self.bodiless:
@@ -187,6 +202,7 @@
         message = self.message
         if message is None:
             return
+        self.advanced = True
         message.payload.feed(data)
         if not self.delivered and message.payload.received_bytes >= self.inline_bytes:
             self.deliver(message)
--- a/tests/unit/core/test_http_client.py
+++ b/tests/unit/core/test_http_client.py
@@ -9,6 +9,20 @@
 from papayabay_core.settings import LimitSettings
 
 FIELD = b"x: 1\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SEGMENTS = 1_000
+ENDLESS = {
+    "blank lines": (b"", b"\r\n" * 50),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 4),
+    "reason phrase": (b"HTTP/1.1 200 ", b"a" * 100),
+    "field name": (b"HTTP/1.1 200 OK\r\n", b"a" * 100),
+    "field value": (b"HTTP/1.1 200 OK\r\nx: ", b"a" * 100),
+    "field value of an interim answer": (b"HTTP/1.1 103 X\r\nx: ", b"a" * 100),
+    "chunk size": (CHUNKED, b"0" * 100),
+    "chunk extension": (CHUNKED + b"5;a=", b"a" * 100),
+    "trailer": (CHUNKED + b"2\r\nok\r\n0\r\nx: ", b"a" * 100),
+}
+"""The beginning of an answer, and bytes that never end it."""
 
 
 class ClientConnectionTest(unittest.IsolatedAsyncioTestCase):
@@ -34,6 +48,37 @@
                 with self.assertRaises(ConnectionError):
                     await self.connection.receive()
 
+    async def test_bytes_that_never_end_an_answer_are_limited(self):
+        """Guards against a faulty target whose answer grows without end."""
+        header_bytes = LimitSettings().header_bytes
+        for name, (start, part) in ENDLESS.items():
+            with self.subTest(name):
+                await self.asyncSetUp()
+                answer = self.connection.receive()
+                self.connection.data_received(start)
+                received = 0
+                for _ in range(SEGMENTS):
+                    if self.connection.unusable:
+                        break
+                    self.connection.data_received(part)
+                    received += len(part)
+                self.assertLessEqual(received, header_bytes + len(part))
+                self.assertTrue(self.connection.transport.abort.called)
+                with self.assertRaises(ConnectionError):
+                    await answer
+
+    async def test_long_bodies_in_small_chunks_are_not_limited(self):
+        """Guards against a limit that counts the framing of a sound answer."""
+        answer = self.connection.receive()
+        self.connection.data_received(CHUNKED)
+        for _ in range(SEGMENTS):
+            self.connection.data_received(b"1;extension=%s\r\n" % (b"a" * 100))
+            self.connection.data_received(b"b\r\n")
+        self.connection.data_received(b"0\r\n\r\n")
+        message = await answer
+        self.assertTrue(message.payload.complete)
+        self.assertEqual(message.payload.received_bytes, SEGMENTS)
+
     async def test_wait_ends_after_its_time_and_no_later_wait_does(self):
         """Guards against the timer of one request that ends another's wait."""
         with self.assertRaises(TimeoutError):
--- a/tests/unit/daemon/target_client_support.py
+++ b/tests/unit/daemon/target_client_support.py
@@ -27,6 +27,18 @@
     await reader.read()
 
 
+def endless(start, part):
+    """Return the behaviour of a target that sends until its caller closes."""
+
+    async def behave(reader, writer):
+        writer.write(start)
+        while True:
+            writer.write(part)
+            await writer.drain()
+
+    return behave
+
+
 def announcement(**changes):
     """Return an announcement of a target, with some values changed."""
     values = {"service": "svc", "host": "127.0.0.1", "port": 9, "slots": 4}
--- a/tests/unit/daemon/test_target_truth.py
+++ b/tests/unit/daemon/test_target_truth.py
@@ -7,7 +7,15 @@
 from papayabay_core.errors import CallError, Effect, ErrorKind
 from papayabay_core.http.payload import PayloadBroken
 from tests.unit.daemon.door_fakes import bounded, call
-from tests.unit.daemon.target_client_support import OK, ClientTestCase, replying, silent
+from tests.unit.daemon.target_client_support import (
+    OK,
+    ClientTestCase,
+    endless,
+    replying,
+    silent,
+)
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class EffectTests(ClientTestCase):
@@ -34,6 +42,20 @@
                 await self.open(replying(data, close=True))
                 await self.fails(ErrorKind.TARGET_LOST)
 
+    async def test_endless_bytes_that_are_no_answer_end_the_call(self):
+        """Guards against a target that keeps a call and sends without end."""
+        for name, start, part in (
+            ("blank lines", b"", b"\r\n" * 1_000),
+            ("interim answers", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            ("field", b"HTTP/1.1 200 OK\r\nx: ", b"a" * 1_000),
+            ("chunk extension", CHUNKED + b"5;a=", b"a" * 1_000),
+            ("trailer", CHUNKED + b"0\r\nx: ", b"a" * 1_000),
+        ):
+            with self.subTest(name):
+                target = await self.open(endless(start, part))
+                await self.fails(ErrorKind.TARGET_LOST)
+                await bounded(target.gone.wait())
+
     async def test_lost_request_is_not_retried_on_a_new_connection(self):
         """Guards against a call that runs twice after a connection was lost.
 
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -12,8 +12,8 @@
 from papayabay_daemon._internal.target.pool import MAX_REFUSALS
 from papayabay_daemon.adapters import Announcement, Verdict
 from papayabay_platform.target_dialect import PlatformTargetDialect, load_of
-from tests.unit.daemon.door_fakes import call, settings
-from tests.unit.daemon.test_target_client import ClientTestCase
+from tests.unit.daemon.door_fakes import bounded, call, settings
+from tests.unit.daemon.target_client_support import ClientTestCase, endless
 
 ID = b"X-Papayabay-Request-Id"
 SIGNATURE = (b"X-Papayabay-Upstream-Signature", b"3e1b")
@@ -277,6 +277,23 @@
         await self.open(behave, incarnation="i-1")
         await self.fails(ErrorKind.TARGET_LOST, call())
 
+    async def test_endless_bodies_end_with_the_call(self):
+        """Guards against a target that sends a body without end."""
+        for kind, status, fields in (
+            (ErrorKind.TARGET_LOST, 200, [(ID, b"r0"), SIGNATURE]),
+            (ErrorKind.TARGET_LOST, 200, [OWN]),
+            (ErrorKind.TARGET_SHED, 503, [OWN, NOT_RUN]),
+            (ErrorKind.TARGET_SHED, 421, [OWN]),
+        ):
+            with self.subTest(status=status, fields=fields):
+                framing = (b"Transfer-Encoding", b"chunked")
+                head = response(status, framing, *fields, body=b"")
+                head = head.replace(b"Content-Length: 0\r\n", b"")
+                chunk = b"400\r\n%b\r\n" % (b"a" * 1024)
+                target = await self.open(endless(head, chunk), incarnation="i-1")
+                await self.fails(kind, call())
+                await bounded(target.gone.wait())
+
     async def test_bytes_on_an_idle_connection_close_it(self):
         """Guards against reading stray bytes as the answer to a request.
 
