Limit the answers that no reader waits for

Cause: while the answer of a call is read, a faulty target may send further complete answers without end. Each was kept until the call ended. Bytes after an answer with Connection: close were read and dropped for as long as they came, as the connection stayed open until its answer was read.

Change: at most 4 answers wait for a reader, which is as many as a call skips; a further one closes the connection. So do bytes after the last answer. The answer being read is complete and stays so.

Test: test_answers_that_nobody_waits_for_are_limited failed before with 999 answers kept, test_bytes_after_a_last_answer_close_the_connection with an open connection.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -10,6 +10,9 @@
 
 FIRST_FINAL_STATUS = 200
 """Lower statuses are interim answers (1xx)."""
+MAX_UNREAD_ANSWERS = 4
+"""Most answers that wait for a reader. Only a faulty server sends answers that
+nobody waits for, and it may never stop."""
 
 
 class Message:
@@ -147,9 +150,7 @@
         end. The parser accepts blank lines, interim answers, and chunk sizes
         and trailers of any length, so the sum of such bytes is limited here.
         """
-        if self.unusable:
-            return
-        if not self.busy:
+        if self.unusable or not self.busy:
             self.abort()
             return
         self.advanced = False
@@ -179,7 +180,8 @@
         Raises
         ------
         ValueError
-            When the answer has more than `MAX_HEADER_FIELDS`.
+            When the answer has more than `MAX_HEADER_FIELDS`, or
+            `MAX_UNREAD_ANSWERS` wait for a reader.
         """
         status = self.parser.get_status_code()
         fields = self.end_head()
@@ -188,6 +190,8 @@
         head = Head(fields)
         if status < FIRST_FINAL_STATUS:
             return
+        if len(self.received) >= MAX_UNREAD_ANSWERS:
+            raise ValueError("too many answers that no request waits for")
         self.advanced = True
         self.message = Message(status, head, Payload(self))
         self.delivered = False
--- a/tests/unit/core/test_http_client.py
+++ b/tests/unit/core/test_http_client.py
@@ -5,10 +5,11 @@
 import unittest
 from unittest import mock
 
-from papayabay_core.http.client import ClientConnection
+from papayabay_core.http.client import MAX_UNREAD_ANSWERS, ClientConnection
 from papayabay_core.settings import LimitSettings
 
 FIELD = b"x: 1\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 SEGMENTS = 1_000
 ENDLESS = {
@@ -67,6 +68,31 @@
                 with self.assertRaises(ConnectionError):
                     await answer
 
+    async def test_answers_that_nobody_waits_for_are_limited(self):
+        """Guards against a faulty target that sends answers without end."""
+        for name, parts in (
+            ("segments of one answer", [ANSWER] * SEGMENTS),
+            ("one segment", [ANSWER * SEGMENTS]),
+        ):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                answer = self.connection.receive()
+                for part in parts:
+                    self.connection.data_received(part)
+                self.assertLessEqual(len(self.connection.received), MAX_UNREAD_ANSWERS)
+                self.assertTrue(self.connection.transport.abort.called)
+                self.assertEqual((await answer).payload.read_all_nowait(), b"ok")
+
+    async def test_bytes_after_a_last_answer_close_the_connection(self):
+        """Guards against reading all that follows the last answer."""
+        answer = self.connection.receive()
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+        self.connection.data_received(head + b"ok")
+        self.assertFalse(self.connection.transport.abort.called)
+        self.connection.data_received(b"a" * 100)
+        self.assertTrue(self.connection.transport.abort.called)
+        self.assertEqual((await answer).payload.read_all_nowait(), b"ok")
+
     async def test_long_bodies_in_small_chunks_are_not_limited(self):
         """Guards against a limit that counts the framing of a sound answer."""
         answer = self.connection.receive()
