Limit the framing of requests at the doors

A client could send blank lines, digits of a chunk size, a chunk extension or a trailer field without end; the daemon read them all, and kept the trailer field in memory.

Change: outside of heads, which have a limit of their own, the bytes since a segment last ended a head or had a part of a body are limited to header_bytes. Above it the request gets 400, and the connection is closed.

Test: test_endless_framing_is_refused failed before for all four cases, by no answer within 10 s; it passes, with no request run.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
@@ -45,6 +45,11 @@
         Size of the segment that is being parsed.
     unfinished_bytes : int
         Bytes of earlier segments that contain a part of the current head.
+    advanced : bool
+        Whether the current segment ended a head or has a part of a body.
+    framing_bytes : int
+        Bytes of the latest segments that did neither, outside of heads: blank
+        lines, chunk extensions, trailers.
     last_used : float
         When a request was last received or answered, on the loop's clock.
     timer : asyncio.TimerHandle or None
@@ -65,6 +70,8 @@
         self.discarding = False
         self.segment_bytes = 0
         self.unfinished_bytes = 0
+        self.advanced = False
+        self.framing_bytes = 0
         self.last_used = 0.0
         self.timer = None
 
@@ -120,6 +127,7 @@
         if self.discarding:
             return
         within_head = self.in_head
+        self.advanced = False
         size = self.segment_bytes = len(data)
         try:
             while data and not self.discarding:
@@ -136,6 +144,7 @@
             return
         if not self.in_head:
             self.unfinished_bytes = 0
+            self.limit_framing(size)
             return
         self.unfinished_bytes += size
         if within_head:
@@ -143,12 +152,31 @@
             if self.head_bytes > self.header_bytes:
                 self.handle_malformed(CallError(ErrorKind.HEADERS_TOO_LARGE))
 
+    def limit_framing(self, size):
+        """Refuse blank lines, chunk extensions and trailers without end.
+
+        The parser accepts any length of them, and keeps trailers in memory.
+
+        Parameters
+        ----------
+        size : int
+            Bytes of the segment that was parsed.
+        """
+        if self.advanced or self.discarding:
+            self.framing_bytes = 0
+            return
+        self.framing_bytes += size
+        if self.framing_bytes > self.header_bytes:
+            detail = "chunk extensions or trailers are too long"
+            self.handle_malformed(CallError(ErrorKind.BAD_REQUEST, detail))
+
     def on_url(self, target):
         """Append a part of the request target."""
         self.target += target
 
     def on_headers_complete(self):
         """Start the request, or queue it if it may not run now."""
+        self.advanced = True
         fields, target = self.end_head(), self.target
         self.target = b""
         if self.discarding:
@@ -173,6 +201,7 @@
 
     def on_body(self, data):
         """Append a part of the request's body."""
+        self.advanced = True
         if self.request is not None and self.request.payload is not None:
             self.request.payload.feed(data)
 
--- a/tests/unit/daemon/test_doors_limits.py
+++ b/tests/unit/daemon/test_doors_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from contextlib import suppress
 
 from tests.unit.daemon.door_fakes import (
     DoorTestCase,
@@ -13,6 +14,15 @@
 )
 
 
+async def send_endlessly(writer, part):
+    """Send a part again and again until the connection is closed."""
+    with suppress(ConnectionError):
+        while True:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
 class LimitTests(DoorTestCase):
     async def test_too_large_headers_are_refused(self):
         for headers in (
@@ -73,6 +83,26 @@
             self.assertEqual(status, expected)
             self.assertEqual(len(flow.seen), runs)
 
+    async def test_endless_framing_is_refused(self):
+        """Guards against a client that fills the memory with framing."""
+        chunked = request(method="POST", headers=[("Transfer-Encoding", "chunked")])
+        for name, start, part in (
+            ("blank lines", b"", b"\r\n" * 50),
+            ("chunk size", chunked, b"0" * 100),
+            ("chunk extension", chunked + b"5;a=", b"a" * 100),
+            ("trailer", chunked + b"2\r\nok\r\n0\r\nx: ", b"a" * 100),
+        ):
+            with self.subTest(name):
+                flow = FakeFlow()
+                door = await self.open(flow, header_bytes=2048)
+                reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+                self.addCleanup(writer.close)
+                writer.write(start)
+                sending = asyncio.create_task(send_endlessly(writer, part))
+                status, _, _ = parse(await bounded(reader.read()))
+                sending.cancel()
+                self.assertEqual((status, flow.seen), (400, []))
+
     async def test_limit_exceeded_while_streaming_has_unknown_effect(self):
         """A caller got effect "not run" for a request that had started.
 
