Count the answers that belong to other requests

Cause: a target that sends answers twice could not be told from a sound one.

Change: target.stray_answers counts the skipped ones.

Measured: test_late_second_answer_is_skipped sees one, and test_counters_of_all_components_are_in_the_metrics sees the counter.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -35,7 +35,7 @@
         "doors": partial(door_counters, daemon),
         "quarantine": partial(quarantine_counters, daemon),
         "accounts": partial(account_counters, daemon),
-        "target": partial(dict, daemon.target.crash_detector.counters),
+        "target": partial(target_counters, daemon.target),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.configuration.counts),
         "members": partial(member_counters, daemon.membership),
@@ -50,6 +50,11 @@
     return {**admission.counters.plain(), "slow_spells": slow_spells}
 
 
+def target_counters(target):
+    """Return the counters of crashes and of answers to other requests."""
+    return {**target.crash_detector.counters, **target.counters}
+
+
 def key_counters(gate):
     """Return the counters of idempotency keys and of the key table."""
     return {**gate.counters, **gate.key_table.counters}
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -43,6 +43,8 @@
     report_listeners : list of callable
         Called with the announcement of the target, the `TargetReport` in each
         of its answers, and when the answered call was sent.
+    counters : dict of str to int
+        ``stray_answers``: answers to other requests that were skipped.
     """
 
     def __init__(self, settings, registry, dialect=None):
@@ -54,6 +56,7 @@
         self.report_listeners = []
         self.notices = CancelNotices()
         self.crash_detector = CrashDetector(Fingerprints(settings))
+        self.counters = {"stray_answers": 0}
 
     async def run(self, call, call_token):
         """Send a call to the target and return its answer.
@@ -236,6 +239,7 @@
         """
         with CallTimeout(call.remaining()):
             for _ in range(1, MAX_STRAY_ANSWERS):
+                self.counters["stray_answers"] += 1
                 exchange.message = message
                 await exchange.skip()
                 message = await exchange.connection.receive()
--- a/tests/unit/daemon/test_counter_sources.py
+++ b/tests/unit/daemon/test_counter_sources.py
@@ -28,6 +28,7 @@
         daemon = self.daemon
         daemon.idempotency_gate.key_table.counters["full"] += 2
         daemon.caller_door.counters["refused"] += 3
+        daemon.target.counters["stray_answers"] += 1
         daemon.target.notices.counters["dropped"] += 4
         daemon.configuration.counts["pulls"] += 5
         daemon.membership.refutations += 6
@@ -38,6 +39,7 @@
         expected = {
             "idempotency.full": 2,
             "doors.caller.refused": 3,
+            "target.stray_answers": 1,
             "cancel_notices.dropped": 4,
             "configuration.pulls": 5,
             "members.refutations": 6,
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -183,6 +183,7 @@
         await self.open(behave, incarnation="i-1")
         answer = await self.run_call(call())
         self.assertEqual(answer.body.first, b"own")
+        self.assertEqual(self.client.counters["stray_answers"], 1)
 
     async def open_repeating(self, **changes):
         """Open a target that refuses r1 and sends each refusal twice.
