Describe the limits of connections to targets and at the doors

The error details named only some of the bytes that are limited.

Measured: lint, and 203 tests of core, platform and the doors' limits pass.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -168,7 +168,7 @@
             return
         self.framing_bytes += len(data)
         if self.framing_bytes > self.header_bytes:
-            self.abort_with("the head or the trailer of an answer is too long")
+            self.abort_with("too many bytes without a head or a body")
 
     def on_header(self, name, value):
         """Add a field. Called for each field, so it does nothing else."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/http/serving.py
@@ -167,7 +167,7 @@
             return
         self.framing_bytes += size
         if self.framing_bytes > self.header_bytes:
-            detail = "chunk extensions or trailers are too long"
+            detail = "too many bytes outside of heads and bodies"
             self.handle_malformed(CallError(ErrorKind.BAD_REQUEST, detail))
 
     def on_url(self, target):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -12,8 +12,8 @@
 """How long before the target closes an idle connection it is no longer used.
 Well above any delay on loopback, where requests could cross the close."""
 MAX_REFUSALS = 64
-"""Refused requests after which a connection is closed, since the ids of all of
-them are kept."""
+"""Refused requests after which a connection is closed. Bounds the ids that are
+kept for it."""
 
 
 class TargetPool:
@@ -104,8 +104,8 @@
             if len(self.open) + self.connecting < self.announcement.connections:
                 return await self.open_connection()
             if self.idle:
-                # None of them can be used for this request, and if all others
-                # are idle too, no answer would end the wait.
+                # No idle connection may carry this request. If none is in use,
+                # none will be released either, and the wait would not end.
                 self.idle.pop(0).abort()
             await self.wait()
 
@@ -145,6 +145,7 @@
     def record_refusal(self, connection, request_id):
         """Keep a request from being sent again on the same connection."""
         if connection not in self.open:
+            # It was closed with its answer, and `remove` is not called again.
             return
         refused = self.refused_ids.setdefault(connection, set())
         refused.add(request_id)
