Test that an endless answer waits for its reader

Cause: nothing showed that the body of a verified answer without end is held back while its caller does not read, and ends with the call.

Change: a test over a socket.

--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -1,18 +1,21 @@
 """Tests of requests to upstreams and of the verdicts on their answers."""
 
+import asyncio
 import contextlib
 import unittest
 from unittest import mock
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.http.heads import Head
+from papayabay_core.http.payload import MAX_BUFFERED_BYTES
 from papayabay_core.settings import TargetSettings
+from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.target import HttpTargetClient
 from papayabay_daemon._internal.target.dialect import TargetReport
 from papayabay_daemon._internal.target.pool import MAX_REFUSALS
 from papayabay_daemon.adapters import Announcement, Verdict
 from papayabay_platform.target_dialect import PlatformTargetDialect, load_of
-from tests.unit.daemon.door_fakes import bounded, call, settings
+from tests.unit.daemon.door_fakes import BOUND_SECONDS, bounded, call, settings
 from tests.unit.daemon.target_client_support import ClientTestCase, endless
 
 ID = b"X-Papayabay-Request-Id"
@@ -20,6 +23,9 @@
 OWN = (ID, b"r1")
 NOT_RUN = (b"X-Papayabay-Not-Run", b"1")
 FREE_SLOTS = (b"X-Papayabay-Upstream-Load", b"3,0,8")
+CHUNK = b"400\r\n%b\r\n" % (b"a" * 1024)
+MAX_SEGMENT_BYTES = 262_144
+"""Most bytes that the event loop reads at once."""
 
 
 def announcement(**changes):
@@ -36,6 +42,12 @@
     return b"\r\n".join([*lines, b"", body])
 
 
+def chunked_head(status, *fields):
+    framing = b"Transfer-Encoding", b"chunked"
+    head = response(status, framing, *fields, body=b"")
+    return head.replace(b"Content-Length: 0\r\n", b"")
+
+
 class ClassificationTest(unittest.TestCase):
     def classify(self, status, *fields):
         made = call()
@@ -278,6 +290,24 @@
         await self.open(behave, incarnation="i-1")
         await self.fails(ErrorKind.TARGET_LOST, call())
 
+    async def test_endless_answer_waits_for_its_reader(self):
+        """Guards against an endless answer that fills the memory."""
+        head = chunked_head(200, OWN, SIGNATURE)
+        target = await self.open(endless(head, CHUNK), incarnation="i-1")
+        sent = call()
+        answer = await self.run_call(sent)
+        (connection,) = self.client.pool.open
+        async with asyncio.timeout(BOUND_SECONDS):
+            while not connection.read_pauses:
+                await asyncio.sleep(0.001)
+        buffered = answer.body.rest.exchange.message.payload.buffered_bytes
+        self.assertLessEqual(buffered, MAX_BUFFERED_BYTES + MAX_SEGMENT_BYTES)
+        sent.expires_at = now()
+        with self.assertRaises(TimeoutError):
+            async for _ in answer.body.rest:
+                pass
+        await bounded(target.gone.wait())
+
     async def test_endless_bodies_end_with_the_call(self):
         """Guards against a target that sends a body without end."""
         for kind, status, fields in (
@@ -287,11 +317,8 @@
             (ErrorKind.TARGET_SHED, 421, [OWN]),
         ):
             with self.subTest(status=status, fields=fields):
-                framing = (b"Transfer-Encoding", b"chunked")
-                head = response(status, framing, *fields, body=b"")
-                head = head.replace(b"Content-Length: 0\r\n", b"")
-                chunk = b"400\r\n%b\r\n" % (b"a" * 1024)
-                target = await self.open(endless(head, chunk), incarnation="i-1")
+                head = chunked_head(status, *fields)
+                target = await self.open(endless(head, CHUNK), incarnation="i-1")
                 await self.fails(kind, call())
                 await bounded(target.gone.wait())
 
