--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 PACKAGES = core daemon cli bench
-EDITABLE = $(foreach name,$(PACKAGES),-e packages/papayabay-$(name)) -e platform
+EDITABLE = -e platform $(foreach name,$(PACKAGES),-e packages/papayabay-$(name))
 
 .PHONY: demo test lint format
 
--- a/packages/papayabay-bench/src/papayabay_bench/commands/__init__.py
+++ b/packages/papayabay-bench/src/papayabay_bench/commands/__init__.py
@@ -8,6 +8,7 @@
     "load": ("load", "LoadCommand"),
     "run": ("run", "RunCommand"),
     "check": ("check", "CheckCommand"),
+    "soak": ("soak", "SoakCommand"),
     "report": ("report", "ReportCommand"),
     "demo": ("demo", "DemoCommand"),
     "overhead": ("overhead", "OverheadCommand"),
--- /dev/null
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: daemons as processes, faults from outside, rules checked."""
