Log the target's refusals with their connection and attribution

Cause: neither logs nor metrics told on which connection to the target an attempt was refused, or whether the refusal named the request. So a copy of a refusal could not be told from a refusal without an id.

Change: a line `decision: refusal` for each refusal, with connection, number of refusals there before, instance and token of the attempt. The dialect's `is_stray` becomes `attribute`, which also tells an answer that names no request from one that names this one. No decision changes.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -64,6 +64,8 @@
         Whether further bytes can no longer be attributed to a request.
     idle_since : float
         When it was last returned to the pool, on `clock.now()`.
+    number : int
+        Identifies it in log lines, within its pool.
     """
 
     def __init__(self, limits, on_lost):
@@ -84,6 +86,7 @@
         self.framing_bytes = 0
         self.unusable = False
         self.idle_since = 0.0
+        self.number = 0
 
     @property
     def reusable(self):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -5,12 +5,17 @@
 from papayabay_core.calls import Answer
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.lifetime.timeouts import CallTimeout
 from papayabay_daemon._internal.quarantine.fingerprint import Fingerprints
 from papayabay_daemon._internal.target.answer_headers import AnswerHeaders
 from papayabay_daemon._internal.target.cancellation import CancelNotices
 from papayabay_daemon._internal.target.crash_detector import CrashDetector
-from papayabay_daemon._internal.target.dialect import DefaultTargetDialect, Verdict
+from papayabay_daemon._internal.target.dialect import (
+    Attribution,
+    DefaultTargetDialect,
+    Verdict,
+)
 from papayabay_daemon._internal.target.exchange import Exchange
 from papayabay_daemon._internal.target.pool import TargetPool
 
@@ -43,6 +48,8 @@
     report_listeners : list of callable
         Called with the announcement of the target, the `TargetReport` in each
         of its answers, and when the answered call was sent.
+    log : DecisionLog
+        Set by the daemon; writes nothing by default.
     counters : dict of str to int
         ``stray_answers``: answers to other requests that were skipped.
     """
@@ -56,6 +63,7 @@
         self.report_listeners = []
         self.notices = CancelNotices()
         self.crash_detector = CrashDetector(Fingerprints(settings))
+        self.log = DecisionLog()
         self.counters = {"stray_answers": 0}
 
     async def run(self, call, call_token):
@@ -92,8 +100,12 @@
             head = self.dialect.request_head(call, call_token, pool.announcement)
             exchange.send(call, head)
             message = await connection.receive(call.expires_at - started_at)
-            if self.dialect.is_stray(call, message.head.first):
-                message = await self.receive_matching(exchange, call, message)
+            fields = message.head.first
+            attribution = self.dialect.attribute(call, call_token, fields)
+            if attribution is Attribution.OTHER:
+                message = await self.receive_matching(
+                    exchange, call, call_token, message
+                )
             exchange.message = message
             answer = self.read_answer(exchange, call, call_token, pool)
             is_streamed = answer.body.rest is not None
@@ -172,7 +184,7 @@
         if verdict is Verdict.ANSWER:
             self.record_report(pool.announcement, fields, exchange.started_at)
         else:
-            self.refuse(verdict, call, exchange, pool)
+            self.refuse(verdict, call, call_token, exchange)
         # Header fields are decoded before the body is read, so that a field
         # that can't be forwarded fails the call at once. The length of a
         # whole body is stated anew where it is sent to the caller.
@@ -194,15 +206,25 @@
             self.crash_detector.record_answer(call)
         return Answer(status, headers, body)
 
-    def refuse(self, verdict, call, exchange, pool):
+    def refuse(self, verdict, call, call_token, exchange):
         """Raise the `CallError` for an answer that is not forwarded."""
-        message = exchange.message
+        pool, message = exchange.pool, exchange.message
         fields = message.head.first
         if verdict not in FOREIGN:
             self.record_report(pool.announcement, fields, exchange.started_at)
         if verdict is Verdict.UNVERIFIED:
             detail = f"a {message.status} that can't be its own"
             raise CallError(ErrorKind.TARGET_LOST, detail)
+        attribution = self.dialect.attribute(call, call_token, fields)
+        self.log.record(
+            "refusal",
+            call.request_id,
+            refusal_inputs,
+            exchange,
+            call_token,
+            verdict,
+            attribution,
+        )
         pool.record_refusal(exchange.connection, call.request_id)
         exchange.discard()
         if verdict is Verdict.REPLACED:
@@ -218,7 +240,7 @@
         for listener in self.report_listeners:
             listener(announcement, report, sent_at)
 
-    async def receive_matching(self, exchange, call, message):
+    async def receive_matching(self, exchange, call, call_token, message):
         """Return the answer to this request, and skip those to others.
 
         A target may send a second answer to an earlier request after that
@@ -229,6 +251,7 @@
         ----------
         exchange : Exchange
         call : Call
+        call_token : str
         message : Message
             The first answer, which is one to another request.
 
@@ -243,7 +266,9 @@
                 exchange.message = message
                 await exchange.skip()
                 message = await exchange.connection.receive()
-                if not self.dialect.is_stray(call, message.head.first):
+                fields = message.head.first
+                attribution = self.dialect.attribute(call, call_token, fields)
+                if attribution is not Attribution.OTHER:
                     return message
         raise CallError(ErrorKind.TARGET_LOST, "answers to other requests only")
 
@@ -285,3 +310,19 @@
         await self.notices.close()
         if self.pool is not None:
             self.pool.close()
+
+
+def refusal_inputs(exchange, call_token, verdict, attribution):
+    """Return the inputs of the decision line on a refusal by the target."""
+    message, connection = exchange.message, exchange.connection
+    refused_ids = exchange.pool.refused_ids.get(connection, ())
+    return {
+        "outcome": verdict.value,
+        "status": message.status,
+        "names_request": attribution.value,
+        "connection": connection.number,
+        "refused_on_connection": len(refused_ids),
+        "instance": exchange.pool.announcement.incarnation,
+        "call": call_token,
+        "took_ms": round((now() - exchange.started_at) * 1_000, 1),
+    }
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -55,6 +55,18 @@
     UNVERIFIED = "doubtful"
 
 
+class Attribution(Enum):
+    """Which request an answer states that it belongs to.
+
+    ``OWN`` is the request that waits for an answer on the connection,
+    ``OTHER`` another one. ``UNSTATED`` is an answer that names no request.
+    """
+
+    OWN = "own"
+    OTHER = "other"
+    UNSTATED = "unstated"
+
+
 @dataclass(frozen=True, slots=True)
 class TargetReport:
     """What an answer states about the target itself.
@@ -96,8 +108,8 @@
     ) -> bytes:
         """Return the request line and all header fields."""
 
-    def is_stray(self, call: Call, fields: RawFields) -> bool:
-        """Return whether an answer is known to be for another request."""
+    def attribute(self, call: Call, call_token: str, fields: RawFields) -> Attribution:
+        """Return which request an answer states that it belongs to."""
 
     def classify(
         self, call: Call, announcement: Announcement, status: int, fields: RawFields
@@ -135,9 +147,9 @@
         fields = call_fields(call, call_token)
         return encode_head(call, f"Host: {call.service}\r\n", fields)
 
-    def is_stray(self, call, fields):
-        """Return False: answers of these targets carry no request id."""
-        return False
+    def attribute(self, call, call_token, fields):
+        """Return `UNSTATED`: answers of these targets name no request."""
+        return Attribution.UNSTATED
 
     def classify(self, call, announcement, status, fields):
         """Return whether the call was shed, refused below or answered."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/pool.py
@@ -37,6 +37,8 @@
         beyond the need stay idle and expire.
     refused_ids : dict of ClientConnection to set of str
         Ids of the requests that were refused on each open connection.
+    opened : int
+        Number of connections that were opened so far.
     connecting : int
         Connection attempts in progress.
     waiters : deque of asyncio.Future
@@ -57,6 +59,7 @@
         self.open = set()
         self.idle = []
         self.refused_ids = {}
+        self.opened = 0
         self.connecting = 0
         self.waiters = deque()
         self.answered_at = float("-inf")
@@ -192,6 +195,8 @@
             # `remove` was called already. If the connection were added now, it
             # would count against the target's limit for good.
             raise ConnectionResetError("the target closed the connection at once")
+        self.opened += 1
+        connection.number = self.opened
         self.open.add(connection)
         return connection
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
@@ -25,6 +25,7 @@
 from papayabay_daemon._internal.http.serving import ServerConnection
 from papayabay_daemon._internal.target.announcement import Announcement
 from papayabay_daemon._internal.target.dialect import (
+    Attribution,
     TargetDialect,
     Verdict,
     account_line,
@@ -39,6 +40,7 @@
     "AUTHORIZATION_HEADER",
     "HOP_BY_HOP",
     "Announcement",
+    "Attribution",
     "CallerDialect",
     "Door",
     "DoorResponse",
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -137,6 +137,7 @@
     def build_quarantine(self):
         """Build the decision log and the quarantine of crashing requests."""
         self.decision_log = DecisionLog(self.writer, lambda: self.policy().version)
+        self.target.log = self.decision_log
         self.quarantine_registry = QuarantineRegistry()
         self.quarantine = QuarantineGate(
             self.settings,
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import unittest
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from papayabay_core.http.payload import MAX_BUFFERED_BYTES
 from papayabay_core.settings import TargetSettings
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.decision_log import DecisionLog
 from papayabay_daemon._internal.target import HttpTargetClient
 from papayabay_daemon._internal.target.dialect import TargetReport
 from papayabay_daemon._internal.target.pool import MAX_REFUSALS
@@ -247,6 +249,18 @@
         self.assertEqual((answer.status, target.accepted), (200, 2))
         self.assertEqual(len(self.client.pool.open), 1)
 
+    async def test_line_of_a_refusal_tells_connection_and_attribution(self):
+        """Guards against refusals whose proof can't be told from the log."""
+        lines = []
+        writer = mock.Mock(dropped=0, enqueue=lambda line: lines.append(line))
+        self.client.log = DecisionLog(writer, lambda: 1)
+        await self.open_repeating()
+        await self.fails(ErrorKind.TARGET_REJECTED, self.identified("r1"))
+        (line,) = map(json.loads, lines)
+        self.assertEqual((line["decision"], line["request"]), ("refusal", "r1"))
+        self.assertEqual((line["outcome"], line["status"]), ("rejected", 503))
+        self.assertEqual((line["names_request"], line["connection"]), ("own", 1))
+
     async def test_number_of_kept_ids_is_limited(self):
         """Guards against a target that fills the memory with refusals."""
 
