Test four proofs of a refusal that do not hold

What makes an attempt `not run` is not in each case bound to that attempt:

- a status such as 503 without the field that states that the request was not run is handed on, also for a request that may run once;
- a refusal without an id is taken for that of whatever request waits;
- a success that bears the field of a refusal is taken for one;
- answers of targets that speak papayabay's own protocol name no request at all.

--- a/tests/unit/daemon/test_target_client.py
+++ b/tests/unit/daemon/test_target_client.py
@@ -153,3 +153,26 @@
         self.announce(target.port, shed_status=503)
         await self.fails(ErrorKind.TARGET_SHED)
         self.assertIs(self.client.pool, pool)
+
+    async def test_refusal_without_token_closes_its_connection(self):
+        """Guards against a copy that is read as the refusal of a later call.
+
+        The target runs the second call, and sends a copy of its refusal of the
+        first one where the answer is expected.
+        """
+        refusal = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+        refused_on = []
+
+        async def behave(reader, writer):
+            if not refused_on:
+                refused_on.append(writer)
+                writer.write(refusal)
+                return
+            if writer in refused_on:
+                writer.write(refusal)
+            writer.write(OK)
+
+        target = await self.open(behave, shed_status=503)
+        await self.fails(ErrorKind.TARGET_SHED)
+        answer = await self.run_call(call(request_id="r2"))
+        self.assertEqual((answer.status, target.accepted), (200, 2))
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -355,6 +355,42 @@
             answer = await self.run_call(call())
             self.assertEqual(answer.body.first, b"ok")
 
+    async def test_status_alone_does_not_prove_that_a_request_was_not_run(self):
+        """Guards against a promise to the caller of a request that ran."""
+        for status in (408, 429, 503):
+
+            async def behave(reader, writer, status=status):
+                writer.write(response(status, OWN, SIGNATURE))
+
+            await self.open(behave, incarnation="i-1")
+            sent = call("POST")
+            sent.idempotent = False
+            await self.fails(ErrorKind.TARGET_LOST, sent)
+
+    async def test_refusal_that_names_no_request_proves_nothing(self):
+        """Guards against a copy that is taken for the refusal of a request."""
+        for status, fields in (
+            (503, (NOT_RUN,)),
+            (503, (NOT_RUN, FREE_SLOTS)),
+            (429, (NOT_RUN,)),
+            (421, ()),
+        ):
+
+            async def behave(reader, writer, status=status, fields=fields):
+                writer.write(response(status, *fields))
+
+            await self.open(behave, incarnation="i-1")
+            await self.fails(ErrorKind.TARGET_LOST, call("POST"))
+
+    async def test_success_with_the_field_of_a_refusal_proves_nothing(self):
+        """Guards against an answer of which one half says that it ran."""
+
+        async def behave(reader, writer):
+            writer.write(response(200, OWN, SIGNATURE, NOT_RUN))
+
+        await self.open(behave, incarnation="i-1")
+        await self.fails(ErrorKind.TARGET_LOST, call("POST"))
+
     async def test_unsigned_success_is_refused(self):
         async def behave(reader, writer):
             writer.write(response(200, OWN))
