Promise `not run` for a request that may run once only with a proof

What callers saw: a 503, 429 or 408 for a request that an upstream had run, as soon as an upstream gave such a status of its own.

Cause: an answer that is no refusal was forwarded with its status. To clients, these statuses promise that the request was not run; the platform's pages say that only the field Not-Run, or 421, states this, and "no other response".

For idempotent ones status and body are forwarded as before.

--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -66,6 +66,7 @@
             (200, (SIGNATURE,), Verdict.UNVERIFIED),
             (500, (OWN, SIGNATURE), Verdict.ANSWER),
             (503, (OWN,), Verdict.ANSWER),
+            (429, (OWN, SIGNATURE), Verdict.ANSWER),
             (503, (not_run,), Verdict.SHED),
             (503, (not_run, (b"X-Papayabay-Upstream-Load", b"8,9,8")), Verdict.SHED),
             (503, (not_run, (b"X-Papayabay-Upstream-Load", b"odd")), Verdict.SHED),
@@ -90,6 +91,17 @@
             with self.subTest(status=status, fields=fields):
                 self.assertIs(self.classify(status, *fields), verdict)
 
+    def test_promises_for_requests_that_may_run_once_need_a_proof(self):
+        """Guards against a promise to the caller of a request that ran."""
+        made = call("POST")
+        made.idempotent = False
+        for status in (408, 429, 503):
+            for fields in ((OWN,), (OWN, SIGNATURE)):
+                verdict = PlatformTargetDialect().classify(
+                    made, announcement(), status, Head(fields).first
+                )
+                self.assertIs(verdict, Verdict.UNVERIFIED, (status, fields))
+
     def test_rate_limits_are_read(self):
         """A limit that can't be read must not end the one in effect."""
         for content, rate in (
