Take no refusal that names no request as a proof

What callers saw: after a faulty upstream had sent a refusal without an id where the answer to another request was expected, that request ran twice, or was answered 503 though it ran.

Cause: an answer without an id was taken for that of whatever request waits on the connection. One without an id proves nothing about a request.

`test_verdicts` asked that refusals without an id be accepted; it now asks the same with an id, and that each of them is refused without one.

--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -65,18 +65,18 @@
         fields = {name.lower(): value for name, value in request.headers.items()}
         if request.path == "/healthz":
             return self.health_response()
+        request_id = fields["x-papayabay-request-id"]
+        echoed = {"X-Papayabay-Request-Id": request_id}
         if fields["x-papayabay-expected-instance"] != self.instance:
-            return web.Response(status=421)
+            return web.Response(status=421, headers=echoed)
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "reject":
-            return web.Response(status=503, headers={"X-Papayabay-Not-Run": "full"})
+            refusal = echoed | {"X-Papayabay-Not-Run": "full"}
+            return web.Response(status=503, headers=refusal)
         self.executed.append((request.path_qs, fields))
         await self.may_answer.wait()
         text = f"{self.instance} ran {request.path_qs}"
-        headers = {
-            "X-Papayabay-Request-Id": fields["x-papayabay-request-id"],
-            "X-Papayabay-Upstream-Signature": f"signed-{self.instance}",
-        }
+        headers = echoed | {"X-Papayabay-Upstream-Signature": f"signed-{self.instance}"}
         if fault:
             return await self.answer_faultily(request, fault, headers, text.encode())
         return web.Response(text=text, headers=headers)
--- a/tests/unit/platform/test_target_dialect.py
+++ b/tests/unit/platform/test_target_dialect.py
@@ -57,8 +57,11 @@
         return PlatformTargetDialect().classify(made, announcement(), status, values)
 
     def test_verdicts(self):
-        not_run = (b"X-Papayabay-Not-Run", b"1")
         coded = (b"Content-Encoding", b"gzip")
+        busy = (b"X-Papayabay-Upstream-Load", b"8,9,8")
+        odd = (b"X-Papayabay-Upstream-Load", b"odd")
+        free_of_four = (b"X-Papayabay-Upstream-Load", b"3,0,8,250")
+        busy_of_four = (b"X-Papayabay-Upstream-Load", b"8,0,8,250")
         for status, fields, verdict in (
             (200, (OWN, SIGNATURE), Verdict.ANSWER),
             (200, (OWN,), Verdict.UNVERIFIED),
@@ -67,26 +70,20 @@
             (500, (OWN, SIGNATURE), Verdict.ANSWER),
             (503, (OWN,), Verdict.ANSWER),
             (429, (OWN, SIGNATURE), Verdict.ANSWER),
-            (503, (not_run,), Verdict.SHED),
-            (503, (not_run, (b"X-Papayabay-Upstream-Load", b"8,9,8")), Verdict.SHED),
-            (503, (not_run, (b"X-Papayabay-Upstream-Load", b"odd")), Verdict.SHED),
-            (
-                503,
-                (not_run, (b"X-Papayabay-Upstream-Load", b"3,0,8")),
-                Verdict.REJECTED,
-            ),
-            (
-                503,
-                (not_run, (b"X-Papayabay-Upstream-Load", b"3,0,8,250")),
-                Verdict.REJECTED,
-            ),
-            (
-                503,
-                (not_run, (b"X-Papayabay-Upstream-Load", b"8,0,8,250")),
-                Verdict.SHED,
-            ),
-            (429, (OWN, not_run), Verdict.SHED),
-            (421, (), Verdict.REPLACED),
+            (503, (OWN, NOT_RUN), Verdict.SHED),
+            (503, (OWN, NOT_RUN, busy), Verdict.SHED),
+            (503, (OWN, NOT_RUN, odd), Verdict.SHED),
+            (503, (OWN, NOT_RUN, FREE_SLOTS), Verdict.REJECTED),
+            (503, (OWN, NOT_RUN, free_of_four), Verdict.REJECTED),
+            (503, (OWN, NOT_RUN, busy_of_four), Verdict.SHED),
+            (429, (OWN, NOT_RUN), Verdict.SHED),
+            (421, (OWN,), Verdict.REPLACED),
+            (421, (OWN, NOT_RUN), Verdict.REPLACED),
+            (503, (NOT_RUN,), Verdict.UNVERIFIED),
+            (503, (NOT_RUN, FREE_SLOTS), Verdict.UNVERIFIED),
+            (429, (NOT_RUN,), Verdict.UNVERIFIED),
+            (421, (), Verdict.UNVERIFIED),
+            (421, (NOT_RUN,), Verdict.UNVERIFIED),
         ):
             with self.subTest(status=status, fields=fields):
                 self.assertIs(self.classify(status, *fields), verdict)
@@ -277,7 +274,9 @@
         """Guards against a target that fills the memory with refusals."""
 
         async def behave(reader, writer):
-            writer.write(response(503, NOT_RUN))
+            head = target.requests[-1]
+            request_id = head.partition(f"{ID.decode()}: ")[2].split("\r\n")[0]
+            writer.write(response(503, (ID, request_id.encode()), NOT_RUN))
 
         target = await self.open(behave, incarnation="i-1")
         for number in range(MAX_REFUSALS + 1):
@@ -412,7 +411,7 @@
 
     async def test_answer_of_another_instance_means_not_run(self):
         async def behave(reader, writer):
-            writer.write(response(421))
+            writer.write(response(421, OWN))
 
         await self.open(behave, incarnation="i-1")
         with self.assertRaises(CallError) as caught:
