Bind refusals of papayabay's own targets to their call

Cause: answers of targets that speak papayabay's own protocol named no request, so a copy of a refusal would be taken for the refusal of the next call on the connection, which the target runs. That the protocol allows no copies was the only protection.

Change: a target may repeat `Papayabay-Call`, the token of one attempt, in its answers; an answer with another token is skipped. After a refusal without it the connection is closed, so that no later call meets a copy. `test_shed_status_is_a_refusal_only_when_announced` asked that the connection be kept after a refusal without the token; it now asks that it be closed, and a new test asks that one with the token keep it.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -225,7 +225,12 @@
             verdict,
             attribution,
         )
-        pool.record_refusal(exchange.connection, call.request_id)
+        if attribution is Attribution.OWN:
+            pool.record_refusal(exchange.connection, call.request_id)
+        else:
+            # A copy of this refusal could not be told from the answer to
+            # another call, so no call follows on this connection.
+            exchange.connection.unusable = True
         exchange.discard()
         if verdict is Verdict.REPLACED:
             self.registry.mark_replaced(pool.announcement)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -14,6 +14,7 @@
 from papayabay_daemon._internal.target.announcement import Announcement
 
 ACCOUNT_FIELD = "Papayabay-Account"
+CALL_FIELD = b"papayabay-call"
 EFFECT_FIELD = b"papayabay-effect"
 RATE_LIMIT_FIELD = b"papayabay-rate-limit"
 RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -148,8 +149,12 @@
         return encode_head(call, f"Host: {call.service}\r\n", fields)
 
     def attribute(self, call, call_token, fields):
-        """Return `UNSTATED`: answers of these targets name no request."""
-        return Attribution.UNSTATED
+        """Return whose token an answer repeats; targets need not do so."""
+        repeated = fields.get(CALL_FIELD)
+        if repeated is None:
+            return Attribution.UNSTATED
+        is_own = repeated == call_token.encode()
+        return Attribution.OWN if is_own else Attribution.OTHER
 
     def classify(self, call, announcement, status, fields):
         """Return whether the call was shed, refused below or answered."""
--- a/tests/unit/daemon/test_target_client.py
+++ b/tests/unit/daemon/test_target_client.py
@@ -176,3 +176,18 @@
         await self.fails(ErrorKind.TARGET_SHED)
         answer = await self.run_call(call(request_id="r2"))
         self.assertEqual((answer.status, target.accepted), (200, 2))
+
+    async def test_late_copy_with_the_token_of_another_call_is_skipped(self):
+        """Guards against a copy that is read as a later call's refusal."""
+        refusal = b"HTTP/1.1 503 X\r\nPapayabay-Call: t%d\r\nContent-Length: 0\r\n\r\n"
+        answers = [refusal % 1, refusal % 1 + OK]
+
+        async def behave(reader, writer):
+            writer.write(answers.pop(0))
+
+        target = await self.open(behave, shed_status=503)
+        await self.fails(ErrorKind.TARGET_SHED)
+        sent = call(request_id="r2")
+        answer = await bounded(self.client.run(sent, "t2"))
+        self.assertEqual((answer.status, target.accepted), (200, 1))
+        self.assertEqual(self.client.counters["stray_answers"], 1)
--- a/tests/unit/daemon/test_target_truth.py
+++ b/tests/unit/daemon/test_target_truth.py
@@ -81,6 +81,14 @@
         error = await self.fails(ErrorKind.TARGET_SHED)
         self.assertEqual(error.retry_after_ms, 2000)
         await self.fails(ErrorKind.TARGET_SHED, call(request_id="r2"))
+        self.assertEqual((len(target.requests), target.accepted), (2, 2))
+
+    async def test_refusal_with_the_token_of_its_call_keeps_the_connection(self):
+        """Guards against a new connection after each refusal."""
+        data = b"HTTP/1.1 503 Busy\r\nPapayabay-Call: t1\r\nContent-Length: 0\r\n\r\n"
+        target = await self.open(replying(data), shed_status=503)
+        await self.fails(ErrorKind.TARGET_SHED)
+        await self.fails(ErrorKind.TARGET_SHED, call(request_id="r2"))
         self.assertEqual((len(target.requests), target.accepted), (2, 1))
 
     async def test_refusal_passed_on_is_not_the_targets_answer(self):
