Use the project's words in the fault soak

Cause: the soak named VMs machines, and its start was one long function.

Change: names and structure only.

--- a/packages/papayabay-bench/src/papayabay_bench/commands/soak.py
+++ b/packages/papayabay-bench/src/papayabay_bench/commands/soak.py
@@ -17,7 +17,7 @@
         seed="1",
         minutes=0.5,
         faults="",
-        machines=3,
+        vms=3,
         rate=100.0,
         packages="",
         keep="",
@@ -33,7 +33,7 @@
             How long clients send requests, for each seed.
         faults : str
             Kinds of fault to draw from, separated by commas; all without.
-        machines : int
+        vms : int
             Daemons for each of the three services.
         rate : float
             Requests per second.
@@ -65,7 +65,7 @@
                 number,
                 float(minutes) * SECONDS_PER_MINUTE,
                 kinds,
-                int(machines),
+                int(vms),
                 float(rate),
                 str(packages and Path(packages).resolve()),
                 str(keep),
--- a/packages/papayabay-bench/src/papayabay_bench/soak/clients.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/clients.py
@@ -59,19 +59,19 @@
 
 
 class Clients:
-    """Sends requests to the daemons of all machines.
+    """Sends requests to the daemons of all VMs.
 
     Parameters
     ----------
     settings : SoakSettings
-    machines : list of Machine
+    vms : list of Vm
     services : tuple of str
     history : History
     """
 
-    def __init__(self, settings, machines, services, history):
+    def __init__(self, settings, vms, services, history):
         self.settings = settings
-        self.machines = machines
+        self.vms = vms
         self.services = services
         self.history = history
         self.random = random.Random(settings.seed + 1)
@@ -117,10 +117,10 @@
         if self.random.random() < KEPT_SHARE:
             depth = self.random.randint(1, MAX_DEPTH)
         drawn = [self.draw_request() for _ in range(depth)]
-        machine = self.random.choice(self.machines)
-        await self.send_requests(machine, drawn, MAX_RETRIES)
+        vm = self.random.choice(self.vms)
+        await self.send_requests(vm, drawn, MAX_RETRIES)
 
-    async def send_requests(self, machine, drawn, retries):
+    async def send_requests(self, vm, drawn, retries):
         """Send requests on a connection; refused ones come back alone."""
         requests = [request for request, _ in drawn]
         for request, is_unsafe in drawn:
@@ -134,7 +134,7 @@
         gives_up = self.random.random() < GIVE_UP_SHARE
         longest = max(request.deadline_ms for request in requests) / 1_000
         limit = longest * self.random.random() if gives_up else longest
-        answers = await self.exchange(machine, requests, limit)
+        answers = await self.exchange(vm, requests, limit)
         refused = [
             (request, is_unsafe, answer)
             for (request, is_unsafe), answer in zip(drawn, answers, strict=False)
@@ -165,13 +165,13 @@
             request.deadline_ms,
             request.is_chunked,
         )
-        machine = self.random.choice(self.machines)
-        await self.send_requests(machine, [(again, is_unsafe)], retries)
+        vm = self.random.choice(self.vms)
+        await self.send_requests(vm, [(again, is_unsafe)], retries)
 
-    async def exchange(self, machine, requests, seconds):
+    async def exchange(self, vm, requests, seconds):
         """Send requests and return the answers up to the first failure."""
         answers = []
-        address = machine.place.address("outbound")
+        address = vm.place.address("outbound")
         connection = None
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
--- a/packages/papayabay-bench/src/papayabay_bench/soak/faults.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/faults.py
@@ -43,7 +43,7 @@
     async def inject(self, fault):
         """Wait for a fault's time, start it and end it again."""
         await asyncio.sleep(max(0.0, fault.at - self.history.now()))
-        name = self.fleet.machines[fault.machine].place.name
+        name = self.fleet.vms[fault.vm].place.name
         self.history.record_event(f"{fault.kind} at {name} begins")
         self.history.counts[f"fault {fault.kind}"] += 1
         if fault.kind in LINK_FAULTS:
@@ -55,58 +55,57 @@
 
     async def play_pause(self, fault):
         """Suspend a daemon."""
-        machine = self.fleet.machines[fault.machine]
-        machine.pause()
+        vm = self.fleet.vms[fault.vm]
+        vm.pause()
         await asyncio.sleep(fault.seconds)
-        machine.resume()
+        vm.resume()
 
     async def play_kill(self, fault):
         """Kill a daemon and start it again."""
-        await self.restart([fault.machine], fault.seconds, graceful=False)
+        await self.restart([fault.vm], fault.seconds, graceful=False)
 
     async def play_kill_all(self, fault):
         """Kill all daemons at once and start them again."""
-        everyone = range(len(self.fleet.machines))
+        everyone = range(len(self.fleet.vms))
         await self.restart(everyone, fault.seconds / 4, graceful=False)
 
     async def play_terminate(self, fault):
         """Terminate a daemon and start it again."""
-        await self.restart([fault.machine], fault.seconds / 4, graceful=True)
+        await self.restart([fault.vm], fault.seconds / 4, graceful=True)
 
     async def play_terminate_all(self, fault):
         """Terminate all daemons at once and start them again."""
-        everyone = range(len(self.fleet.machines))
+        everyone = range(len(self.fleet.vms))
         await self.restart(everyone, fault.seconds / 4, graceful=True)
 
     async def restart(self, numbers, seconds, graceful):
         """End daemons and start them again, unless another fault does."""
-        machines = [self.fleet.machines[number] for number in numbers]
-        own = [machine for machine in machines if not machine.is_held_down]
-        for machine in own:
-            machine.is_held_down = True
+        vms = [self.fleet.vms[number] for number in numbers]
+        own = [vm for vm in vms if not vm.is_held_down]
+        for vm in own:
+            vm.is_held_down = True
         if graceful:
-            ended = await asyncio.gather(*(machine.terminate() for machine in own))
+            ended = await asyncio.gather(*(vm.terminate() for vm in own))
             self.history.counts["processes past their grace"] += ended.count(False)
         else:
-            for machine in own:
-                machine.kill()
+            for vm in own:
+                vm.kill()
         await asyncio.sleep(seconds)
-        for machine in own:
-            machine.start()
-            machine.is_held_down = False
+        for vm in own:
+            vm.start()
+            vm.is_held_down = False
         await asyncio.sleep(STARTED_AFTER_SECONDS)
 
     async def play_reload(self, fault):
         """Send SIGHUP, several times."""
         for _ in range(1 + int(fault.strength * 4)):
-            self.fleet.machines[fault.machine].send(signal.SIGHUP)
+            self.fleet.vms[fault.vm].send(signal.SIGHUP)
             await asyncio.sleep(fault.seconds / 10)
 
     async def disturb_links(self, fault):
         """Disturb the links between two daemons, or reset all of one."""
         first, second = (
-            self.fleet.machines[number].place.name
-            for number in (fault.machine, fault.peer)
+            self.fleet.vms[number].place.name for number in (fault.vm, fault.peer)
         )
         directions = self.fleet.directions
         there, back = directions[first, second], directions[second, first]
@@ -128,8 +127,8 @@
             direction.is_open.set()
 
     async def trouble(self, fault, **shares):
-        """Give the upstream of a machine troubles for a while."""
-        troubles = self.fleet.upstreams[fault.machine].troubles
+        """Give the upstream of a VM troubles for a while."""
+        troubles = self.fleet.upstreams[fault.vm].troubles
         for name, share in shares.items():
             setattr(troubles, name, share)
         await asyncio.sleep(fault.seconds)
@@ -173,7 +172,7 @@
 
     async def play_reborn(self, fault):
         """End an upstream, and start another incarnation at its address."""
-        upstream = self.fleet.upstreams[fault.machine]
+        upstream = self.fleet.upstreams[fault.vm]
         if upstream.is_held_down:
             return
         upstream.is_held_down = True
@@ -184,7 +183,7 @@
 
     async def play_reset_upstream(self, fault):
         """Reset all connections of an upstream."""
-        self.fleet.upstreams[fault.machine].reset_connections()
+        self.fleet.upstreams[fault.vm].reset_connections()
 
     async def play_store_silent(self, fault):
         """Let the store answer nothing for a while."""
--- a/packages/papayabay-bench/src/papayabay_bench/soak/relayed_daemon.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/relayed_daemon.py
@@ -9,7 +9,8 @@
 import runpy
 import sys
 
-from papayabay_daemon._internal.links import dialling
+from papayabay_daemon._internal.links import peers
+from papayabay_daemon._internal.links.dialling import Dialler
 from papayabay_daemon._internal.links.link import Link
 
 RELAY_VARIABLE = "SOAK_RELAY"
@@ -28,18 +29,21 @@
         super().connection_made(transport)
 
 
-async def open_connection(self, member):
-    """Return a link through the relay, before its handshake."""
-    link = RelayedLink(self.links, member.name)
-    link.destination = member.host, member.link_port
-    host, _, port = os.environ[RELAY_VARIABLE].rpartition(":")
-    loop = asyncio.get_running_loop()
-    await loop.create_connection(lambda: link, host, int(port))
-    return link
+class RelayedDialler(Dialler):
+    """A dialler that reaches peers through the relay."""
+
+    async def open_connection(self, member):
+        """Return a link through the relay, before its handshake."""
+        link = RelayedLink(self.links, member.name)
+        link.destination = member.host, member.link_port
+        host, _, port = os.environ[RELAY_VARIABLE].rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: link, host, int(port))
+        return link
 
 
 if __name__ == "__main__":
-    dialling.Dialler.open_connection = open_connection
+    peers.Dialler = RelayedDialler
     program = os.environ[PROGRAM_VARIABLE]
     sys.argv = [program]
     runpy.run_module(program, run_name="__main__")
--- a/packages/papayabay-bench/src/papayabay_bench/soak/run.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import shutil
 import tempfile
+from collections import Counter
 from dataclasses import dataclass
 from itertools import product
 from pathlib import Path
@@ -11,23 +12,24 @@
 from papayabay_bench.soak.clients import Clients
 from papayabay_bench.soak.faults import FaultInjector
 from papayabay_bench.soak.history import History
-from papayabay_bench.soak.machine import Machine, free_places
 from papayabay_bench.soak.relay import Direction, Relay
 from papayabay_bench.soak.rules import check
 from papayabay_bench.soak.schedule import draw_schedule
 from papayabay_bench.soak.settings import SERVICES
+from papayabay_bench.soak.vm import Vm, free_places
 from platform_standins.deployment import PROMISES, configuration, route_prefix
 from platform_standins.store import Store
 from platform_standins.upstream import Upstream, UpstreamSettings
 
 START_SECONDS = 30.0
 POLL_SECONDS = 0.1
+SEEDS_PER_RUN = 1_000
 SETTLE_SECONDS = 1.0
 """Time after the last request in which an upstream may still begin one."""
 
 
 class Fleet:
-    """The store, the machines and their upstreams.
+    """The store, the VMs and their upstreams.
 
     Parameters
     ----------
@@ -48,22 +50,23 @@
         self.history = history
         self.folder = folder
         self.store = Store()
-        self.machines = []
+        self.store_host = ""
+        self.vms = []
         self.upstreams = []
         self.relays = {}
         self.directions = {}
         self.version = 0
 
     async def __aenter__(self):
-        settings = self.settings
         # An address that other runs do not use: the metrics port is fixed.
         drawn = Random()
         network = f"127.{drawn.randint(10, 250)}.{drawn.randint(1, 250)}"
-        await self.store.start(f"{network}.1")
+        self.store_host = f"{network}.1"
+        await self.store.start(self.store_host)
         await self.write_configuration()
         pairs = [
             (f"{service}-{number}", service)
-            for service, number in product(SERVICES, range(settings.machines))
+            for service, number in product(SERVICES, range(self.settings.vms))
         ]
         places = free_places(pairs, network)
         names = {place.host: place.name for place in places}
@@ -71,29 +74,38 @@
             pair: Direction() for pair in product(names.values(), repeat=2)
         }
         for number, place in enumerate(places):
-            relay = self.relays[place.name] = Relay(place.name, self.directions, names)
-            address = await relay.start(f"{network}.1")
-            machine = Machine(
-                place, self.store.address, self.folder, address, settings.packages
-            )
-            self.machines.append(machine)
-            upstream = Upstream(
-                UpstreamSettings(
-                    place,
-                    calls=calls_of(place.service),
-                    seed=settings.seed * 1_000 + number,
-                ),
-                self.history,
-            )
-            self.upstreams.append(upstream)
-            await upstream.start()
-            machine.start()
+            await self.start_vm(place, number, names)
         await self.wait_ready()
         return self
 
+    async def start_vm(self, place, number, names):
+        """Start a VM's upstream, the relay of its links and its daemon.
+
+        Parameters
+        ----------
+        place : Place
+        number : int
+        names : dict of str to str
+            Names of the VMs by host.
+        """
+        settings = self.settings
+        relay = self.relays[place.name] = Relay(place.name, self.directions, names)
+        address = await relay.start(self.store_host)
+        vm = Vm(place, self.store.address, self.folder, address, settings.packages)
+        upstream_settings = UpstreamSettings(
+            place,
+            calls=calls_of(place.service),
+            seed=settings.seed * SEEDS_PER_RUN + number,
+        )
+        upstream = Upstream(upstream_settings, self.history)
+        self.vms.append(vm)
+        self.upstreams.append(upstream)
+        await upstream.start()
+        vm.start()
+
     async def __aexit__(self, *error):
-        for machine in self.machines:
-            machine.kill()
+        for vm in self.vms:
+            vm.kill()
         for upstream in self.upstreams:
             await upstream.stop()
         for relay in self.relays.values():
@@ -109,8 +121,8 @@
     async def wait_ready(self):
         """Wait until all daemons are ready."""
         async with asyncio.timeout(START_SECONDS):
-            for machine in self.machines:
-                while not await machine.is_ready():
+            for vm in self.vms:
+                while not await vm.is_ready():
                     await asyncio.sleep(POLL_SECONDS)
 
 
@@ -135,7 +147,7 @@
     """
 
     seed: int
-    counts: object
+    counts: Counter
     violations: list
 
 
@@ -145,8 +157,8 @@
     with tempfile.TemporaryDirectory() as folder:
         async with Fleet(settings, history, Path(folder)) as fleet:
             history.restart_clock()
-            schedule = draw_schedule(settings, len(fleet.machines))
-            clients = Clients(settings, fleet.machines, SERVICES, history)
+            schedule = draw_schedule(settings, len(fleet.vms))
+            clients = Clients(settings, fleet.vms, SERVICES, history)
             injecting = asyncio.create_task(
                 FaultInjector(fleet, history).inject_all(schedule)
             )
--- a/packages/papayabay-bench/src/papayabay_bench/soak/schedule.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/schedule.py
@@ -43,8 +43,8 @@
 
     Attributes
     ----------
-    machine, peer : int
-        Numbers of the machines that it meets; `peer` for links only.
+    vm, peer : int
+        Numbers of the VMs that it meets; `peer` for links only.
     at : float
         Seconds from the start of the run.
     seconds : float
@@ -54,7 +54,7 @@
     """
 
     kind: str
-    machine: int
+    vm: int
     peer: int
     at: float
     seconds: float
@@ -75,14 +75,14 @@
     return tuple(kinds) or KINDS
 
 
-def draw_schedule(settings, machines):
+def draw_schedule(settings, vms):
     """Return the faults of a soak, in the order of their times.
 
     Parameters
     ----------
     settings : SoakSettings
-    machines : int
-        Number of machines of all services.
+    vms : int
+        Number of VMs of all services.
     """
     chance = random.Random(settings.seed)
     kinds = validate_kinds(settings.faults)
@@ -91,7 +91,7 @@
     planned = [
         PlannedFault(
             kind,
-            *chance.sample(range(machines), 2),
+            *chance.sample(range(vms), 2),
             chance.uniform(LEAD_SECONDS, settings.seconds),
             chance.uniform(0.2, 6.0),
             chance.random(),
--- a/packages/papayabay-bench/src/papayabay_bench/soak/settings.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/settings.py
@@ -18,7 +18,7 @@
         How long clients send requests.
     faults : tuple of str
         Kinds of fault to draw from.
-    machines : int
+    vms : int
         Daemons for each service.
     rate : float
         Requests of clients per second.
@@ -32,7 +32,7 @@
     seed: int
     seconds: float = 30.0
     faults: tuple = ()
-    machines: int = 3
+    vms: int = 3
     rate: float = 100.0
     packages: str = ""
     keep: str = ""
--- a/packages/papayabay-bench/src/papayabay_bench/soak/machine.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/vm.py
@@ -1,4 +1,4 @@
-"""One machine of a soak: a daemon's process and the upstream beside it."""
+"""One VM of a soak: a daemon's process and the upstream beside it."""
 
 import asyncio
 import os
@@ -28,7 +28,7 @@
 READY_TIMEOUT_SECONDS = 1.0
 
 
-class Machine:
+class Vm:
     """A daemon as a process, which is signalled, ended and started again.
 
     Parameters
@@ -156,14 +156,14 @@
 
 
 def free_places(names, network):
-    """Return a `Place` with free ports for each machine.
+    """Return a `Place` with free ports for each VM.
 
     Parameters
     ----------
     names : iterable of (str, str)
-        Name and service of each machine.
+        Name and service of each VM.
     network : str
-        First three numbers of the machines' addresses.
+        First three numbers of the VMs' addresses.
     """
     with ExitStack() as stack:
         places = []
--- a/tests/functional/test_fault_soak.py
+++ b/tests/functional/test_fault_soak.py
@@ -11,7 +11,7 @@
 
 SECONDS = 20.0
 RATE = 60.0
-MACHINES = 2
+VMS = 2
 MIN_RUNS = 100
 """A soak in which fewer requests ran shows nothing."""
 
@@ -20,9 +20,7 @@
     def check(self, seed, kinds):
         """Run a seed; the records of one that fails are kept."""
         keep = tempfile.mkdtemp(prefix="papayabay-soak-")
-        settings = SoakSettings(
-            seed, SECONDS, kinds, machines=MACHINES, rate=RATE, keep=keep
-        )
+        settings = SoakSettings(seed, SECONDS, kinds, vms=VMS, rate=RATE, keep=keep)
         result = asyncio.run(run_seed(settings))
         self.assertEqual(result.violations, [], f"seed {seed}, records in {keep}")
         self.assertGreater(result.counts["run"], MIN_RUNS)
