--- a/packages/papayabay-bench/src/papayabay_bench/soak/faults.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/faults.py
@@ -148,6 +148,11 @@
         """Let a half of each late copy come with the refusal."""
         await self.trouble(fault, refuse=REFUSED_SHARES[1], repeat=1.0, halve=0.5)
 
+    async def play_refuse_early(self, fault):
+        """Let an upstream refuse requests before it has read their bodies."""
+        share = between(REFUSED_SHARES, fault.strength)
+        await self.trouble(fault, early=share, repeat=share)
+
     async def play_trail(self, fault):
         """Let bytes of no request follow answers and refusals."""
         share = between(REPEATED_SHARES, fault.strength)
--- a/packages/papayabay-bench/src/papayabay_bench/soak/schedule.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/schedule.py
@@ -18,6 +18,7 @@
     "refuse",
     "refuse-repeat",
     "refuse-halve",
+    "refuse-early",
     "trail",
     "anonymize",
     "lose",
