--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/client.py
@@ -213,7 +213,7 @@
         if verdict not in FOREIGN:
             self.record_report(pool.announcement, fields, exchange.started_at)
         if verdict is Verdict.UNVERIFIED:
-            detail = f"a {message.status} that proves nothing"
+            detail = f"an unverified answer with status {message.status}"
             raise CallError(ErrorKind.TARGET_LOST, detail)
         attribution = self.dialect.attribute(call, call_token, fields)
         self.log.record(
--- a/tests/unit/platform/test_not_run_proofs.py
+++ b/tests/unit/platform/test_not_run_proofs.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from papayabay_core.errors import Effect
-from papayabay_platform.target_dialect import PROMISES
+from platform_standins.deployment import PROMISES
 from tests.lib.memory_network import MemoryNetwork, NetworkLoop, virtual_clock
 from tests.unit.platform.attempt_fleet import AttemptFleet
 
