--- a/packages/papayabay-bench/src/papayabay_bench/soak/vm.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/vm.py
@@ -109,17 +109,18 @@
         Returns
         -------
         bool
-            Whether the process ended by itself.
+            Whether the process ended by itself, or was suspended meanwhile.
         """
-        process = self.process
+        process, was_paused = self.process, False
         self.send(signal.SIGTERM)
         loop = asyncio.get_running_loop()
         until = loop.time() + GRACE_SECONDS
         while process.poll() is None:
+            was_paused = was_paused or self.pauses > 0
             if loop.time() > until:
                 process.kill()
                 process.wait()
-                return False
+                return was_paused
             await asyncio.sleep(POLL_SECONDS)
         return True
 
