--- a/tests/functional/platform_support.py
+++ b/tests/functional/platform_support.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import socket
 import subprocess
 import sys
 import tempfile
@@ -12,6 +11,7 @@
 
 import aiohttp
 
+from papayabay_bench.soak.vm import reserve, reserve_range
 from tests.lib.platform_store import PlatformStore
 from tests.lib.platform_upstream import Upstream
 
@@ -22,9 +22,6 @@
 """Addresses that only this test run uses: the metrics port is fixed, so two
 runs on one machine would otherwise collide on it."""
 PORTS = ("outbound", "ready", "control", "app", "internal")
-INTERNAL_PORTS = 3
-"""Ports of the internal range that a daemon opens."""
-MAX_RANGE_TRIALS = 100
 BOOT = """
 [self]
 nodeId = "vm-{number}"
@@ -90,30 +87,6 @@
         }
 
 
-def reserve(stack, host, port):
-    """Return a socket that keeps a port reserved until the stack is closed."""
-    return stack.enter_context(socket.create_server((host, port)))
-
-
-def reserve_range(stack, host):
-    """Return the first of `INTERNAL_PORTS` free ports in a row.
-
-    The daemon opens the last of them on the loopback address.
-    """
-    for _ in range(MAX_RANGE_TRIALS):
-        with ExitStack() as trial:
-            first = reserve(trial, host, 0).getsockname()[1]
-            try:
-                for port in range(first + 1, first + INTERNAL_PORTS):
-                    reserve(trial, host, port)
-                reserve(trial, "127.0.0.1", first + INTERNAL_PORTS - 1)
-            except (OSError, OverflowError):
-                continue
-            stack.push(trial.pop_all())
-            return first
-    raise OSError(f"no {INTERNAL_PORTS} free ports in a row")
-
-
 class Vm:
     """A VM with one daemon process and one upstream."""
 
