Let the relay's test end without a traceback

Cause: the server's handler was cancelled with the test's loop, which asyncio logs as an error.

Change: the handler ends quietly.

--- a/tests/unit/bench/test_soak_rules.py
+++ b/tests/unit/bench/test_soak_rules.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 
 from papayabay_bench.soak.history import History
 from papayabay_bench.soak.relay import Direction, Relay
@@ -98,9 +99,11 @@
         received = asyncio.Queue()
 
         async def echo(reader, writer):
-            while data := await reader.read(100):
-                await received.put(data)
-                writer.write(data)
+            # The connection is still open when the test's loop is closed.
+            with suppress(asyncio.CancelledError):
+                while data := await reader.read(100):
+                    await received.put(data)
+                    writer.write(data)
 
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
         self.addCleanup(server.close)
