--- a/packages/papayabay-bench/src/papayabay_bench/commands/check.py
+++ b/packages/papayabay-bench/src/papayabay_bench/commands/check.py
@@ -31,9 +31,8 @@
 
         if history:
             return check_file(history)
-        listed = faults.split(",") if isinstance(faults, str) else map(str, faults)
         try:
-            kinds = validate_kinds([name.strip() for name in listed if name.strip()])
+            kinds = validate_kinds(listed_names(faults))
             numbers = seed_numbers(0, as_range(seeds))
         except ValueError as error:
             print(error, file=sys.stderr)
@@ -41,6 +40,12 @@
         return run_and_print(numbers, kinds, max(1, int(jobs)), keep)
 
 
+def listed_names(names):
+    """Return the names of an argument such as `a,b`, which fire may split."""
+    listed = names.split(",") if isinstance(names, str) else map(str, names)
+    return [name.strip() for name in listed if name.strip()]
+
+
 def as_range(seeds):
     """Return `A..B` for one number too."""
     return f"{seeds}..{seeds}" if str(seeds).isdigit() else str(seeds)
--- a/packages/papayabay-bench/src/papayabay_bench/commands/soak.py
+++ b/packages/papayabay-bench/src/papayabay_bench/commands/soak.py
@@ -45,7 +45,7 @@
         list : bool
             Print the kinds of fault and run nothing.
         """
-        from papayabay_bench.commands.check import as_range
+        from papayabay_bench.commands.check import as_range, listed_names
         from papayabay_bench.commands.run import seed_numbers
         from papayabay_bench.soak.schedule import KINDS, validate_kinds
         from papayabay_bench.soak.settings import SoakSettings
@@ -53,9 +53,8 @@
         if list:
             print("\n".join(KINDS))
             return 0
-        listed = faults.split(",") if isinstance(faults, str) else map(str, faults)
         try:
-            kinds = validate_kinds([name.strip() for name in listed if name.strip()])
+            kinds = validate_kinds(listed_names(faults))
             seeds = seed_numbers(0, as_range(seed))
         except ValueError as error:
             print(error, file=sys.stderr)
--- a/packages/papayabay-bench/src/papayabay_bench/soak/clients.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/clients.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from platform_standins.deployment import (
     PROMISES,
@@ -22,7 +22,7 @@
 """Beyond what a daemon keeps in memory of one body: it is streamed."""
 CHUNKED_SHARE = 0.4
 OBEDIENT_SHARE = 0.8
-"""Share of the refused requests that come back when they were told to."""
+"""Share of the refused requests whose retry honours Retry-After."""
 MAX_RETRIES = 2
 MAX_DEPTH = 3
 """Most requests that are sent on a connection before the first answer."""
@@ -39,6 +39,8 @@
     deadline_ms : int
     is_chunked : bool
         Whether the body is sent in chunks with pauses.
+    is_unsafe : bool
+        Whether it may run once at most.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     body: bytes
     deadline_ms: int
     is_chunked: bool
+    is_unsafe: bool
 
     def parts(self):
         """Yield the bytes of the request as they are sent."""
@@ -96,7 +99,7 @@
                 writer.transport.abort()
 
     def draw_request(self):
-        """Return a new request and whether it may run once only."""
+        """Return a new request."""
         chance = self.random.random
         self.number += 1
         is_unsafe = chance() < UNSAFE_SHARE
@@ -106,53 +109,47 @@
         has_body = is_unsafe and chance() < BODY_SHARE
         bounds = LARGE_BYTES if chance() < LARGE_SHARE else BODY_BYTES
         size = self.random.randrange(*bounds) if has_body else 0
-        request = Request(
+        return Request(
             request_id,
             "POST" if has_body else "DELETE" if is_unsafe else "GET",
             f"{prefix}{request_id}",
             self.random.randbytes(size),
             self.random.randrange(*DEADLINES_MS),
             has_body and chance() < CHUNKED_SHARE,
+            is_unsafe,
         )
-        return request, is_unsafe
 
     async def send_batch(self):
         """Send one request, or some of them pipelined, on one connection."""
         depth = 1
         if self.random.random() < KEPT_SHARE:
             depth = self.random.randint(1, MAX_DEPTH)
-        drawn = [self.draw_request() for _ in range(depth)]
+        requests = [self.draw_request() for _ in range(depth)]
         vm = self.random.choice(self.vms)
-        await self.send_requests(vm, drawn, MAX_RETRIES)
+        await self.send_requests(vm, requests, MAX_RETRIES)
 
-    async def send_requests(self, vm, drawn, retries):
+    async def send_requests(self, vm, requests, retries):
         """Send requests on a connection; refused ones come back alone."""
-        requests = [request for request, _ in drawn]
-        for request, is_unsafe in drawn:
+        for request in requests:
             self.history.record_sent(
                 request.request_id,
                 request.method,
                 request.path,
                 request.body,
-                is_unsafe,
+                request.is_unsafe,
             )
         gives_up = self.random.random() < GIVE_UP_SHARE
         longest = max(request.deadline_ms for request in requests) / 1_000
         limit = longest * self.random.random() if gives_up else longest
         answers = await self.exchange(vm, requests, limit)
-        refused = [
-            (request, is_unsafe, answer)
-            for (request, is_unsafe), answer in zip(drawn, answers, strict=False)
-            if answer.status in PROMISES
-        ]
         if not retries:
             return
         async with asyncio.TaskGroup() as group:
-            for request, is_unsafe, answer in refused:
-                returning = self.come_back(request, is_unsafe, answer, retries - 1)
-                group.create_task(returning)
+            for request, answer in zip(requests, answers, strict=False):
+                if answer.status in PROMISES:
+                    group.create_task(self.come_back(request, answer, retries - 1))
 
-    async def come_back(self, request, is_unsafe, answer, retries):
+    async def come_back(self, request, answer, retries):
         """Send a refused request again, with a new id."""
         wait = retry_after_seconds(answer)
         if wait > request.deadline_ms / 3_000:
@@ -162,16 +159,9 @@
         self.number += 1
         request_id = f"{self.settings.seed:x}-{self.number:x}"
         prefix = request.path.removesuffix(request.request_id)
-        again = Request(
-            request_id,
-            request.method,
-            f"{prefix}{request_id}",
-            request.body,
-            request.deadline_ms,
-            request.is_chunked,
-        )
+        again = replace(request, request_id=request_id, path=f"{prefix}{request_id}")
         vm = self.random.choice(self.vms)
-        await self.send_requests(vm, [(again, is_unsafe)], retries)
+        await self.send_requests(vm, [again], retries)
 
     async def exchange(self, vm, requests, seconds):
         """Send requests and return the answers up to the first failure."""
--- a/packages/papayabay-bench/src/papayabay_bench/soak/history.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/history.py
@@ -1,4 +1,4 @@
-"""What clients and upstreams of a soak have seen, by request."""
+"""Records of what clients and upstreams of a soak observed, by request."""
 
 import json
 import time
@@ -18,8 +18,10 @@
         When an upstream began to run it or refused it, and which upstream.
     answers : list of (float, int)
         When its sender got an answer, and the status.
-    faults : list of str
-        Runs and answers that are not those of this request.
+    failures : list of (float, str)
+        When it ended without an answer, and why.
+    wrong_runs, wrong_answers : list of str
+        Those of another request than this one.
     """
 
     method: str
@@ -30,7 +32,9 @@
     runs: list = field(default_factory=list)
     refusals: list = field(default_factory=list)
     answers: list = field(default_factory=list)
-    faults: list = field(default_factory=list)
+    failures: list = field(default_factory=list)
+    wrong_runs: list = field(default_factory=list)
+    wrong_answers: list = field(default_factory=list)
 
 
 class History:
@@ -41,7 +45,7 @@
     requests : dict of str to RequestRecord
         By request id.
     unknown : list of str
-        Ids that were run and that nobody had sent.
+        Ids of runs without a request.
     events : list of (float, str)
         Faults that were injected.
     counts : Counter
@@ -81,7 +85,7 @@
             return
         record.runs.append((self.now(), instance))
         if (method, path, body) != (record.method, record.path, record.body):
-            record.faults.append(f"run as {method} {path} with {len(body)} bytes")
+            record.wrong_runs.append(f"run as {method} {path} with {len(body)} bytes")
 
     def record_refusal(self, request_id, instance, status):
         """Record that an upstream refuses a request."""
@@ -100,11 +104,12 @@
         record.answers.append((self.now(), message.status))
         is_own = message.body.endswith(record.path.encode())
         if message.status == 200 and not is_own:
-            record.faults.append(f"answered with {message.body[:80]!r}")
+            record.wrong_answers.append(f"answered with {message.body[:80]!r}")
 
     def record_failure(self, request_id, reason):
         """Record that a request ended without an answer."""
         self.counts["ended without an answer"] += 1
+        self.requests[request_id].failures.append((self.now(), reason))
 
     def lines(self):
         """Yield all events and requests as lines of JSON, for a file."""
@@ -119,6 +124,8 @@
                     "runs": record.runs,
                     "refusals": record.refusals,
                     "answers": record.answers,
-                    "faults": record.faults,
+                    "failures": record.failures,
+                    "wrong_runs": record.wrong_runs,
+                    "wrong_answers": record.wrong_answers,
                 }
             )
--- a/packages/papayabay-bench/src/papayabay_bench/soak/relayed_daemon.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/relayed_daemon.py
@@ -18,7 +18,7 @@
 
 
 class RelayedLink(Link):
-    """A link that tells the relay first to whom it is to be relayed."""
+    """A link that sends its destination to the relay before the hello."""
 
     destination = ()
 
--- a/packages/papayabay-bench/src/papayabay_bench/soak/rules.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/rules.py
@@ -54,17 +54,15 @@
     for request_id in history.unknown:
         yield Violation("unasked", request_id, "run, though nobody sent it")
     for request_id, record in history.requests.items():
-        for fault in record.faults:
-            if fault.startswith("run"):
-                yield Violation("unasked", request_id, fault)
+        for reason in record.wrong_runs:
+            yield Violation("unasked", request_id, reason)
 
 
 def mixed(history, promises):
     """Yield requests that were answered with another one's answer."""
     for request_id, record in history.requests.items():
-        for fault in record.faults:
-            if fault.startswith("answered"):
-                yield Violation("mixed", request_id, fault)
+        for reason in record.wrong_answers:
+            yield Violation("mixed", request_id, reason)
         if len(record.answers) > 1:
             yield Violation("mixed", request_id, f"answered {record.answers}")
 
--- a/packages/papayabay-bench/src/papayabay_bench/soak/vm.py
+++ b/packages/papayabay-bench/src/papayabay_bench/soak/vm.py
@@ -14,8 +14,8 @@
 from platform_standins.deployment import (
     COMMAND,
     GRACE_SECONDS,
-    SETTINGS_VARIABLE,
     Place,
+    daemon_environment,
 )
 from platform_standins.messages import BrokenMessage, encode_request, exchange
 
@@ -56,8 +56,7 @@
 
     def start(self):
         """Start the daemon with the deployed command and its settings."""
-        changed = {
-            SETTINGS_VARIABLE: str(self.settings_path),
+        changed = daemon_environment(self.settings_path) | {
             RELAY_VARIABLE: f"{self.relay[0]}:{self.relay[1]}",
             PROGRAM_VARIABLE: COMMAND[-1],
             "UV_USE_IO_URING": "0",
