Leave no slot free because a critical call was refused

What callers saw: for 200 ms after one critical call was refused, a target's daemon refused every call of the other classes, waiting or arriving, whatever was free by then; callers' daemons did the same on the path. Lookups with seconds left were refused beside idle slots, and no critical call was served by it.

Change: the holds of Ranked and of DownstreamLevels are gone, and overload_hold_ms is deprecated: policies that set it stay valid, and `papayabay check` names them. Calls are refused for lack of room or of time alone. The queue is short while calls have lacked room since it was last empty, instead of for a fixed time. A limit that has risen is used before any call is refused.

Callers' daemons still refuse what a service below would refuse now.

--- a/packages/papayabay-bench/src/papayabay_bench/history/records.py
+++ b/packages/papayabay-bench/src/papayabay_bench/history/records.py
@@ -128,7 +128,7 @@
         Process id of the daemon, which changes with each restart.
     version : int
         Policy version in force.
-    critical_refused, sheddable_admitted : int
+    inversions, idle_refusals : int
         Admission counters since the process started.
     asked, time : float
         When the request was sent and when the answer had arrived.
@@ -137,8 +137,8 @@
     daemon: str
     life: int
     version: int
-    critical_refused: int
-    sheddable_admitted: int
+    inversions: int
+    idle_refusals: int
     asked: float
     time: float
 
--- a/packages/papayabay-bench/src/papayabay_bench/history/rules/versions.py
+++ b/packages/papayabay-bench/src/papayabay_bench/history/rules/versions.py
@@ -4,7 +4,7 @@
 
 from papayabay_bench.history.intervals import fault_intervals
 from papayabay_bench.history.records import PatchOutcome, Sample
-from papayabay_bench.history.rules.class_order import process_key
+from papayabay_bench.history.rules.slot_grants import process_key
 from papayabay_bench.history.violations import Violation, ordered_trace
 
 RULE = "versions"
--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/runner.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/runner.py
@@ -38,6 +38,7 @@
     MeasureSelector("recovery", None, "after"),
     MeasureSelector("wasted", None, "overload"),
     MeasureSelector("inversions", None, "overload"),
+    MeasureSelector("idle_refusals", None, "overload"),
     MeasureSelector("retries", None, "whole"),
     MeasureSelector("refused", None, "before"),
     MeasureSelector("doubled", None, "whole"),
--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/tables.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/tables.py
@@ -14,6 +14,7 @@
     ("recovery after", "time back, s", "{:.2f}"),
     ("wasted overload", "wasted slot time", "{:.1%}"),
     ("inversions overload", "inversions", "{:.0f}"),
+    ("idle_refusals overload", "refused beside free slots", "{:.0f}"),
     ("retries whole", "retries, worst request", "{:.0f}"),
     ("refused before", "refused before", "{:.0f}"),
     ("doubled whole", "doubled effects", "{:.0f}"),
--- a/packages/papayabay-cli/src/papayabay_cli/commands/check.py
+++ b/packages/papayabay-cli/src/papayabay_cli/commands/check.py
@@ -13,8 +13,8 @@
     def run(self, *files, json=False):
         """Check settings and policy files, offline.
 
-        Every error is printed with its file and key. Exit codes: 0 all are
-        valid; 2 some are not.
+        Every error is printed with its file and key, and a warning for each
+        deprecated key. Exit codes: 0 all are valid; 2 some are not.
 
         Parameters
         ----------
@@ -35,26 +35,40 @@
 
 
 def check_file(path):
-    """Return the path, kind and errors of a file as a dict."""
-    kind = None
+    """Return the path, kind, errors and warnings of a file as a dict."""
+    kind, warnings = None, []
     try:
         values = parse_toml(read_text(path), path)
         kind = detect_kind(values, path)
-        validate(kind, values, path)
+        warnings = validate(kind, values, path)
     except PapayabayError as error:
         errors = str(error).splitlines()
     else:
         errors = []
-    return {"file": path, "kind": kind and kind.value, "errors": errors}
+    return {
+        "file": path,
+        "kind": kind and kind.value,
+        "errors": errors,
+        "warnings": warnings,
+    }
 
 
 def validate(kind, values, path):
-    """Raise a `PapayabayError` with one line per error in the values."""
+    """Return warnings about the values.
+
+    Raises
+    ------
+    PapayabayError
+        With one line per error.
+    """
     if kind is FileKind.POLICY:
+        from papayabay_core.policy.deprecated import deprecated_keys
         from papayabay_core.policy.document import validate_policy
 
-        validate_policy(values, path)
-        return
+        return [
+            f"{path}: {key} is deprecated and has no effect; remove it"
+            for key in deprecated_keys(validate_policy(values, path))
+        ]
     from papayabay_core.settings import (
         DaemonSettings,
         OperatorSettings,
@@ -63,11 +77,14 @@
 
     model = DaemonSettings if kind is FileKind.DAEMON else OperatorSettings
     load_settings(path, model)
+    return []
 
 
 def print_results(results):
-    """Print one line per valid file, and errors to standard error."""
+    """Print one line per valid file; errors and warnings to standard error."""
     for result in results:
+        if result["warnings"]:
+            print_note("\n".join(result["warnings"]))
         if result["errors"]:
             print_note("\n".join(result["errors"]))
         else:
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -47,13 +47,16 @@
 
 
 class Admission(Strict, frozen=True, kw_only=True):
-    """Admission settings of one service, used by its targets' daemons."""
+    """Admission settings of one service, used by its targets' daemons.
+
+    `overload_hold_ms` is deprecated and has no effect.
+    """
 
     queue_target_ms: Milliseconds = 20
     queue_max_ms: Milliseconds = 150
     static_limit: Annotated[int, Meta(ge=1, le=100_000)] | None = None
     cold_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.1
-    overload_hold_ms: Milliseconds = 200
+    overload_hold_ms: Milliseconds | None = None
     repeat_limit: bool = False
 
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -7,6 +7,7 @@
 from papayabay_daemon._internal.admission.capacity import Capacity
 from papayabay_daemon._internal.admission.counters import AdmissionCounters
 from papayabay_daemon._internal.admission.expiries import Expiries
+from papayabay_daemon._internal.admission.grant_checks import GrantChecks
 from papayabay_daemon._internal.admission.refusals import Refusals
 from papayabay_daemon._internal.admission.repeat_level import RepeatLevel
 from papayabay_daemon._internal.admission.schemes import make_scheme
@@ -14,7 +15,7 @@
 from papayabay_daemon._internal.admission.status import plain_status
 from papayabay_daemon._internal.admission.ticket import SlotTicket
 from papayabay_daemon._internal.admission.waiting import WaitingCall
-from papayabay_daemon._internal.admission.work_counters import WorkCounters
+from papayabay_daemon._internal.admission.work_counters import WorkCounters, no_work
 
 QUEUE_TIME_WEIGHT = 0.1
 """Weight of the latest call in the mean queueing time."""
@@ -54,6 +55,7 @@
         self.inputs = inputs
         self.clock = inputs.clock
         self.counters = AdmissionCounters()
+        self.checks = GrantChecks(self.counters)
         self.work_counters = WorkCounters()
         self.capacity = Capacity(inputs)
         self.times = self.capacity.times
@@ -246,12 +248,15 @@
         """Refuse a queued or newly arrived call because of overload."""
         if waiting.queued:
             self.scheme.queue.discard(waiting)
+        self.checks.check_refusal(self.has_room(now))
         self.refusals.overload.refused(waiting.call.importance, now)
         self.resolve(waiting, self.refusals.overload_error(waiting.call, now))
 
     def recheck_due(self):
         """Recheck or expire the calls that are due, then fill free slots."""
         now = self.clock()
+        # The limit may have risen since the last event.
+        self.dispatch(now)
         for waiting in self.expiries.pop_due(now):
             if now < waiting.call.expires_at:
                 self.scheme.recheck(waiting, now)
@@ -265,12 +270,15 @@
 
     def enqueue(self, call, now):
         self.arrivals += 1
+        if self.scheme.queue.size:
+            self.dispatch(now)
         # Each look-up of the running loop is a system call in Python 3.11.
         if self.loop is None:
             self.loop = asyncio.get_running_loop()
         future = self.loop.create_future()
         recheck_at = self.scheme.recheck_time(call, now)
         waiting = WaitingCall(call, future, now, recheck_at, self.arrivals)
+        self.checks.record_waiting(call)
         self.scheme.enqueue(waiting, now)
         if waiting.queued:
             self.expiries.add(waiting, self.scheme.queue.size)
@@ -289,12 +297,15 @@
             # granted now would be released at once, and each such release
             # would call `dispatch` again, one recursion deeper.
             if waiting.future.done():
+                self.checks.record_left(waiting.call)
                 continue
             error = None
             if self.enforces_deadlines:
                 error = self.refusals.deadline_error(waiting.call, now)
+            if error is None:
+                self.checks.check_grant(waiting.call)
             waited_s = now - waiting.arrived_at
-            self.resolve(waiting, error or self.grant(waiting.call, waited_s, now))
+            self.resolve(waiting, self.grant(waiting.call, waited_s, now))
 
     def grant(self, call, waited_s, now):
         self.in_flight += 1
@@ -316,6 +327,7 @@
         self.counters.cancelled += 1
         if waiting.queued:
             self.scheme.queue.discard(waiting)
+            self.checks.record_left(waiting.call)
             return
         future = waiting.future
         if future.done() and not future.cancelled():
@@ -325,6 +337,7 @@
 
     def resolve(self, waiting, outcome):
         waiting.queued = False
+        self.checks.record_left(waiting.call)
         if not waiting.future.done():
             waiting.future.set_result(outcome)
 
@@ -335,8 +348,3 @@
     def arm_timer(self, now):
         if self.scheme.queue.size:
             self.expiries.arm(now)
-
-
-def no_work(path_key, service_ms, level, now):
-    """Return no work: nothing is scarce."""
-    return {}
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/counters.py
@@ -24,9 +24,10 @@
         Slots released.
     finished_again : int
         Repeated releases of the same slot; they have no effect.
-    inversions_avoided : int
-        Calls refused because a call of a more important class was refused
-        shortly before.
+    inversions : int
+        Slots given to a call while a more important one was waiting.
+    idle_refusals : int
+        Calls refused for overload of this target while it had a free slot.
     downstream_refused : int
         Calls refused because a downstream service on their path would refuse
         them.
@@ -42,7 +43,8 @@
     cancelled: int = 0
     finished: int = 0
     finished_again: int = 0
-    inversions_avoided: int = 0
+    inversions: int = 0
+    idle_refusals: int = 0
     downstream_refused: int = 0
     served_late: Counter = field(default_factory=Counter)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
@@ -30,8 +30,8 @@
         self.control = control
         self.queue = RankedQueue()
         self.threshold = AdmitLevel(self.pressure)
-        self.critical_only_until = float("-inf")
-        self.short_queue_until = float("-inf")
+        self.empty_at = 0.0
+        self.refused_at = float("-inf")
         self.newest_served = {}
         # The announced slots, as reduced by the target's limits. Read several
         # times for each call, so without a method of its own.
@@ -43,27 +43,25 @@
         return self.control.inputs.decisions.deadlines
 
     def refuses(self, call, now):
-        """Refuse other classes for a while after refusing a critical call."""
+        """Record an arrival; no call is refused before it is queued."""
         self.threshold.record_arrival(call.level, now)
-        return now < self.critical_only_until and self.holds_back(call)
-
-    def holds_back(self, call):
-        """Count and refuse a call that is not critical; return whether."""
-        if call.importance is Importance.CRITICAL:
-            return False
-        self.control.counters.inversions_avoided += 1
-        self.threshold.record_refusal(call.importance)
-        return True
+        return False
 
     def enqueue(self, waiting, now):
         """Queue a call; if the queue is full, refuse the worst call."""
         call = waiting.call
         if self.enforces_deadlines and not self.can_finish_in_time(call, now):
-            self.refuse_and_hold(waiting, now)
+            self.refuse(waiting, now)
             return
-        self.queue.push(waiting)
+        self.push(waiting, now)
         self.displace(waiting, now)
 
+    def push(self, waiting, now):
+        """Queue a call, and record when the queue was last empty."""
+        if not self.queue.size:
+            self.empty_at = now
+        self.queue.push(waiting)
+
     def displace(self, waiting, now):
         """Refuse the worst calls while the queue is too long."""
         while self.queue.size > MIN_QUEUE:
@@ -71,7 +69,8 @@
             if self.queue.size <= self.capacity(worst.call, now):
                 return
             self.control.counters.displaced += worst is not waiting
-            self.refuse_and_hold(worst, now)
+            self.refused_at = now
+            self.refuse(worst, now)
 
     def recheck_time(self, call, now):
         """Return when to check whether a call was overtaken."""
@@ -86,7 +85,8 @@
         call that was not overtaken will be served, and stays queued.
         """
         if self.was_overtaken(waiting):
-            self.refuse_and_hold(waiting, now)
+            self.refused_at = now
+            self.refuse(waiting, now)
         else:
             waiting.recheck_at = self.recheck_time(waiting.call, now)
 
@@ -119,30 +119,6 @@
         """Return the threshold by which callers' daemons refuse early."""
         return self.threshold.current(now)
 
-    def refuse_and_hold(self, waiting, now):
-        """Refuse for overload; after a critical call, also all other classes.
-
-        Admitting a lower class right after refusing a critical call would be
-        a visible priority inversion: a page is served while an order is
-        refused. So other classes are refused for `overload_hold_ms`. Only
-        refused critical calls start this hold: if refused lookups did as
-        well, browsing would be refused while slots are idle.
-        """
-        self.refuse(waiting, now)
-        hold_s = self.control.inputs.settings.overload_hold_ms / 1_000
-        self.short_queue_until = now + hold_s
-        if waiting.call.importance is Importance.CRITICAL:
-            self.critical_only_until = now + hold_s
-            self.refuse_other_classes(now)
-
-    def refuse_other_classes(self, now):
-        """Refuse all waiting calls that are not critical."""
-        worst = self.queue.peek_worst()
-        while worst is not None and worst.call.importance > Importance.CRITICAL:
-            self.control.counters.inversions_avoided += 1
-            self.refuse(worst, now)
-            worst = self.queue.peek_worst()
-
     def refuse(self, waiting, now):
         """Refuse a call for overload, and count it for the threshold."""
         self.control.refuse_overloaded(waiting, now)
@@ -164,9 +140,8 @@
         """Return the longest queue allowed while this is its worst call.
 
         A long queue absorbs a burst. A full one absorbs nothing more and only
-        adds its whole length to the wait of each call. While calls are being
-        refused, the queue is therefore limited to its target time, as in the
-        dropping state of CoDel (see "Fail at Scale", 2015). Calls on which
+        adds its whole length to the wait of each call. A standing queue is
+        therefore limited to its target time, as in CoDel. Calls on which
         upstream services have spent work are exempt, since the threshold
         limits how many more of them arrive. Critical calls may wait for a
         share of their remaining lifetime: if they are the worst calls in the
@@ -187,21 +162,36 @@
             return max(max_wait_s, CRITICAL_WAIT_SHARE * (call.expires_at - now))
         if call.depth:
             return max_wait_s * DEEP_WAIT_FACTOR
-        if now < self.short_queue_until:
+        if self.has_standing_queue(now):
             return settings.queue_target_ms / 1_000
         return max_wait_s
 
-    def pressure(self, now):
-        """Return the queueing time above its target, and the slot utilization.
+    def has_standing_queue(self, now):
+        """Whether calls lacked room since the queue was last empty.
+
+        Such a queue is no burst that passes. It delays all calls without more
+        of them being served. See Maurer, "Fail at Scale", ACM Queue 2015.
+        """
+        return self.queue.size > 0 and self.refused_at >= self.empty_at
+
+    def target(self, call_s):
+        """Return the target of the queueing time, in seconds.
+
+        It is at least the queueing time of `MIN_TARGET_CALLS` calls: with few
+        slots and long service times, a shorter queue runs empty between two
+        arrivals, and slots are idle during an overload.
 
-        The target is at least the queueing time of `MIN_TARGET_CALLS` calls:
-        with few slots and long service times, a shorter queue runs empty
-        between two arrivals, and slots are idle during an overload.
+        Parameters
+        ----------
+        call_s : float
+            Mean time between the ends of two calls.
         """
+        target = self.control.inputs.settings.queue_target_ms / 1_000
+        return max(target, MIN_TARGET_CALLS * call_s)
+
+    def pressure(self, now):
+        """Return the queueing time above its target, and the slots' use."""
         limit = self.limit(now)
         call_s = self.control.capacity.call_interval(limit)
-        target = self.control.inputs.settings.queue_target_ms / 1_000
-        target = max(target, MIN_TARGET_CALLS * call_s)
-        return self.queue.size * call_s - target, self.control.slot_use.share(
-            limit, now
-        )
+        excess_s = self.queue.size * call_s - self.target(call_s)
+        return excess_s, self.control.slot_use.share(limit, now)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -16,18 +16,13 @@
     MIN_QUEUE,
     Ranked,
 )
-from papayabay_daemon._internal.admission.request_queue import (
-    CLASSES,
-    RequestQueue,
-)
+from papayabay_daemon._internal.admission.request_queue import RequestQueue
 
 GAINS = ThresholdGains(share=0.2, growth=1.4, surplus=1.0)
 """Calls of newly admitted requests arrive here for up to a second after their
 entries were told of a higher threshold. A faster rise admits more requests
 than can be served before the first of their calls is counted. There is no
 surplus, as the calls above the capacity belong to requests that have begun."""
-FIRST_OTHER_GROUP = CLASSES * (Importance.CRITICAL + 1)
-"""First group of a `RequestQueue` whose calls are not critical."""
 LAST_CRITICAL_LEVEL = LAST_CRITICAL << BUCKET_SHIFT
 """Lowest threshold that admits all critical calls."""
 log = logbook.Logger("papayabay.admission")
@@ -57,9 +52,9 @@
             waiting.call.due_at = None
             waiting.start_by = self.start_by(waiting.call)
         if not self.is_feasible(waiting, now):
-            self.refuse_and_hold(waiting, now)
+            self.refuse(waiting, now)
             return
-        self.queue.push(waiting)
+        self.push(waiting, now)
         self.displace(waiting, now)
 
     def displace(self, waiting, now):
@@ -70,25 +65,13 @@
         """
         super().displace(waiting, now)
         while self.queue.size > MIN_QUEUE:
-            worst = self.queue.peek_worst_new(0)
+            worst = self.queue.peek_worst_new()
             if worst is None:
                 return
             if self.queue.count_ahead(worst) < self.capacity(worst.call, now):
                 return
             self.control.counters.displaced += worst is not waiting
-            self.refuse_and_hold(worst, now)
-
-    def holds_back(self, call):
-        """Refuse other classes for a while after refusing a critical call.
-
-        Calls of requests that have begun are exempt.
-        """
-        return not call.depth and super().holds_back(call)
-
-    def refuse_other_classes(self, now):
-        """Refuse all waiting calls that are not critical and have no depth."""
-        while worst := self.queue.peek_worst_new(FIRST_OTHER_GROUP):
-            self.control.counters.inversions_avoided += 1
+            self.refused_at = now
             self.refuse(worst, now)
 
     def pressure(self, now):
@@ -160,7 +143,8 @@
         call = waiting.call
         overtaken = self.was_overtaken(waiting)
         if not self.is_feasible(waiting, now) or (overtaken and not call.depth):
-            self.refuse_and_hold(waiting, now)
+            self.refused_at = now
+            self.refuse(waiting, now)
             return
         if overtaken and call.importance is not Importance.CRITICAL:
             self.threshold.record_refusal(call.importance)
@@ -207,7 +191,7 @@
         if call.importance is Importance.CRITICAL:
             share_s = CRITICAL_WAIT_SHARE * (self.start_by(call) - now)
             return min(useful_s, max(share_s, settings.queue_max_ms / 1_000))
-        if now < self.short_queue_until:
+        if self.has_standing_queue(now):
             return min(useful_s, settings.queue_target_ms / 1_000)
         return min(useful_s, settings.queue_max_ms / 1_000)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
@@ -41,7 +41,6 @@
         self.retry_after.reconfigure(inputs)
         self.refuses_early = inputs.decisions.upstream_refusal
         self.spares_begun = inputs.decisions.queue_order == "due"
-        self.hold_s = inputs.settings.overload_hold_ms / 1_000
 
     def check_arrival(self, call, now):
         """Refuse a call that arrives, or do nothing.
@@ -58,10 +57,11 @@
             if error is not None:
                 raise error
         heeds_downstream = self.refuses_early and not (self.spares_begun and call.depth)
-        if heeds_downstream and self.downstream.refuses(call, self.hold_s, now):
+        if heeds_downstream and self.downstream.refuses(call, now):
             self.counters.downstream_refused += 1
             raise self.overload_error(call, now)
         if control.scheme.refuses(call, now):
+            control.checks.check_refusal(control.has_room(now))
             self.overload.refused(call.importance, now)
             raise self.overload_error(call, now)
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/request_queue.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/request_queue.py
@@ -81,15 +81,9 @@
         self.group_sizes[group] -= 1
         return waiting
 
-    def peek_worst_new(self, first_group):
-        """Return the worst call without a depth, or None.
-
-        Parameters
-        ----------
-        first_group : int
-            Groups before this one are left out.
-        """
-        for lane in reversed(self.without_depth[first_group:]):
+    def peek_worst_new(self):
+        """Return the worst call without a depth, or None."""
+        for lane in reversed(self.without_depth):
             if lane:
                 return lane[-1][-1]
         return None
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/work_counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/work_counters.py
@@ -45,3 +45,8 @@
         importance.name.lower(): round(seconds[importance] * 1_000)
         for importance in Importance
     }
+
+
+def no_work(path_key, service_ms, level, now):
+    """Return no work: nothing is scarce."""
+    return {}
