Treat requests that come back as first tries

What callers saw: with return_times = "backlog", a request that had been refused and came back at its time got the best rank of its class, so that all repeats went before all first tries. A caller whose first try arrived in an overload was refused in favour of others who had only asked more often.

Cause: the order followed the number of attempts, which no page of the users sets apart outside of the retry budget. Where no time was left before the horizon, the caller was told the last time there was, with nothing that made it likely to be served then.

Change: repeats have the rank of a first try, and the reservations, the backlog and the told times are removed. return_times is deprecated like overload_hold_ms: policies that set it stay valid, `papayabay check` names it. Refusals keep the Retry-After of the daemon that refuses.

--- a/packages/papayabay-core/src/papayabay_core/policy/deprecated.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/deprecated.py
@@ -1,5 +1,6 @@
 """Policy keys that are still accepted and no longer have an effect."""
 
+DEPRECATED_DECISIONS = ("return_times",)
 DEPRECATED_ADMISSION = ("overload_hold_ms",)
 
 
@@ -15,9 +16,14 @@
     list of str
         Such as ``services.orders.admission.overload_hold_ms``.
     """
-    return [
-        f"services.{name}.admission.{key}"
+    sections = [("decisions", document.decisions, DEPRECATED_DECISIONS)]
+    sections += [
+        (f"services.{name}.admission", service.admission, DEPRECATED_ADMISSION)
         for name, service in document.services.items()
-        for key in DEPRECATED_ADMISSION
-        if getattr(service.admission, key) is not None
+    ]
+    return [
+        f"{path}.{key}"
+        for path, section, keys in sections
+        for key in keys
+        if getattr(section, key) is not None
     ]
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -22,7 +22,10 @@
 
 
 class Decisions(Strict, frozen=True, kw_only=True):
-    """Algorithm used for each decision; the bench compares them."""
+    """Algorithm used for each decision; the bench compares them.
+
+    `return_times` is deprecated and has no effect.
+    """
 
     admission: Literal["ranked", "dagor", "codel", "gradient", "static", "open"] = (
         "ranked"
@@ -43,7 +46,7 @@
     account_shares: Literal["none", "max-min"] = "none"
     equals: Literal["rank", "work"] = "rank"
     queue_order: Literal["depth", "due"] = "depth"
-    return_times: Literal["jitter", "backlog"] = "jitter"
+    return_times: Literal["jitter", "backlog"] | None = None
 
 
 class Admission(Strict, frozen=True, kw_only=True):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -11,10 +11,9 @@
     answer_or_error,
     error_answer,
 )
-from papayabay_daemon._internal.calls.entry import NO_ACCOUNT, EntryCalls
+from papayabay_daemon._internal.calls.entry import EntryCalls
 from papayabay_daemon._internal.calls.outgoing import OutgoingCalls
-from papayabay_daemon._internal.lifetime.ranks import best_rank
-from papayabay_daemon._internal.retries import CreditAccount, ReturnTimes
+from papayabay_daemon._internal.retries import CreditAccount
 
 
 class CallFlow(OutgoingCalls):
@@ -42,8 +41,6 @@
         Requests that a shutdown has to wait for.
     idle : asyncio.Event
         Set while there are none.
-    returns : ReturnTimes
-        Used where the policy has return times by backlog.
     """
 
     def __init__(self, components, tree, dispatcher, gate, accounts, objectives, pause):
@@ -59,7 +56,6 @@
         self.in_flight = 0
         self.idle = asyncio.Event()
         self.idle.set()
-        self.returns = ReturnTimes()
 
     async def handle_request(self, incoming):
         """Answer a caller's request.
@@ -172,9 +168,6 @@
         call = self.entries.create(incoming, rule, request_id, identity)
         if identity is not None:
             incoming.account = identity.account.name
-        decisions = self.components.policy().decisions
-        if decisions.return_times == "backlog" and decisions.retry_after:
-            return self.run_returning(call, rule, identity)
         return self.run_entered(call, rule, identity)
 
     def run_entered(self, call, rule, identity):
@@ -187,23 +180,6 @@
             return self.components.demand_reports.watch(account, running)
         return running
 
-    def run_returning(self, call, rule, identity):
-        """Run a request whose refusal tells a time by the backlog.
-
-        One that has come back at its time gets the best rank of its class,
-        unless its account demands more than its share of the capacity.
-        """
-        returned = self.returns.recognise(call)
-        if returned:
-            account = identity.account if identity else NO_ACCOUNT
-            if has_share(account, self.components.policy().decisions):
-                shares = self.components.demand_reports.shares
-                returned = not shares.is_beyond(account)
-            if returned and call.declared_class is None:
-                call.rank = best_rank(rule.importance, account.importance)
-        running = self.run_entered(call, rule, identity)
-        return self.returns.run(call, rule, returned, running)
-
     async def run_limited(self, call, rule, account):
         """Run a caller's request if its account is within its limit.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -60,21 +60,6 @@
     return (importance * RANKS + rank) // CLASSES
 
 
-def best_rank(path_importance, account_importance):
-    """Return the best rank of a path's requests within their class.
-
-    Parameters
-    ----------
-    path_importance : Importance
-        Class of the call path.
-    account_importance : Importance or None
-        Class of the account; None if the path's class is in force.
-    """
-    if account_importance is None:
-        return 0
-    return rank_in_account_class(path_importance, 0)
-
-
 def scaled_rank(rank, factor):
     """Return a rank multiplied by a factor, at most the last rank.
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/__init__.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/retries/__init__.py
@@ -10,7 +10,6 @@
 )
 from papayabay_daemon._internal.retries.ratio import RetryRatio
 from papayabay_daemon._internal.retries.repeats import KeyAccounts, RetryDetector
-from papayabay_daemon._internal.retries.return_times import ReturnTimes
 
 __all__ = [
     "RETRY",
@@ -22,5 +21,4 @@
     "RetryDecision",
     "RetryRatio",
     "RetryRules",
-    "ReturnTimes",
 ]
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -28,7 +28,6 @@
         "links": daemon.links.counters.as_dict,
         "routing": partial(dict, daemon.router.counters),
         "retries": partial(dict, daemon.retry_rules.stops),
-        "returns": partial(dict, daemon.flow.returns.counters),
         "repeats": daemon.arrival_budget.totals,
         "idempotency": partial(key_counters, daemon.idempotency_gate),
         "store": partial(dict, daemon.idempotency_gate.claims.counters),
