Tell callers over their limit when it allows them again

What callers saw: the Retry-After of a request over its account's limit was shortened to half of the path's latency objective, and its jitter began at half of the wait. A caller who kept to it came back before a token was due, and was refused for the same limit.

Cause: the wait followed from when an answer would still be in the objective, not from when the limit allows a request.

Change: the time at which a token is due is passed on, and jitter only lengthens it. A caller with less time left learns that it can give up.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/owner_limiter.py
@@ -226,8 +226,12 @@
         return True
 
     def refuse(self, lease):
-        """Refuse a request that got no token; raises `CallError`."""
-        jitter = self.random.uniform(0.5, 1.5)
+        """Refuse a request that got no token; raises `CallError`.
+
+        The jitter only lengthens the delay: a retry before the token is due
+        would be refused again.
+        """
+        jitter = self.random.uniform(1.0, 1.5)
         if not lease.exhausted_seconds(self.clock()):
             retry_ms = int(UNKNOWN_RETRY_MS * jitter)
             raise CallError(ErrorKind.LIMIT_UNKNOWN, retry_after_ms=retry_ms)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/rate_limits.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/accounts/rate_limits.py
@@ -1,16 +1,11 @@
 """Enforces the rate limits of accounts on requests that enter here."""
 
-import random
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from papayabay_core.errors import CallError, ErrorKind
 from papayabay_core.policy.accounts import Account
 
-MAX_RETRY_SHARE = 0.5
-"""Longest Retry-After, as a share of the latency objective, so that the answer
-to the retry may still be within the objective."""
-
 
 class Limiter(Protocol):
     """A strategy for enforcing one limit across all daemons."""
@@ -57,23 +52,20 @@
         Returns the `Policy` in force.
     limiters : dict of str to Limiter
         By the value of ``decisions.account_limits``.
-    random : random.Random
     uses : dict of str to AccountUse
         For accounts in the policy that have sent requests here.
     """
 
     policy_source: object
     limiters: dict[str, Limiter]
-    random: random.Random
     uses: dict[str, AccountUse] = field(default_factory=dict)
 
-    async def acquire(self, account, rule):
+    async def acquire(self, account):
         """Take a token for a request of an account, if it has a limit.
 
         Parameters
         ----------
         account : Account
-        rule : CallRule
 
         Raises
         ------
@@ -87,7 +79,6 @@
             except CallError as error:
                 if error.kind is ErrorKind.RATE_LIMITED:
                     use.limited += 1
-                    self.cap_retry_after(error, rule)
                 else:
                     use.unknown += 1
                 raise
@@ -103,17 +94,6 @@
         if account.limit is not None:
             self.limiter.refund(account)
 
-    def cap_retry_after(self, error, rule):
-        """Shorten a Retry-After that would make the retry miss its objective.
-
-        The delay is drawn from a range, so that retries do not come at once.
-        """
-        if rule.objective is None or rule.objective.latency_ms is None:
-            return
-        longest = MAX_RETRY_SHARE * rule.objective.latency_ms
-        if error.retry_after_ms > longest:
-            error.retry_after_ms = int(longest * self.random.uniform(0.5, 1.0))
-
     def use_of(self, account):
         """Return the counts of an account; creates them if needed."""
         use = self.uses.get(account.name)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -189,7 +189,7 @@
         """
         if account.limit is not None:
             self.components.router.check(call)
-        await self.components.limits.acquire(account, rule)
+        await self.components.limits.acquire(account)
         answer = await self.run_root(call, rule)
         if answer.effect is NOT_RUN:
             self.components.limits.refund(account)
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -175,7 +175,6 @@
         self.limits = RateLimits(
             self.policy,
             {"keepers": self.owner_limiter, "parts": equal_share_limiter},
-            self.random,
         )
         for limiter in (self.limits, self.owner_limiter, equal_share_limiter):
             self.configuration.on_change(limiter.policy_changed)
