Promote requests of a path only while it is served too seldom

What callers saw: 18 in 100 requests of every less important class were treated as critical at all hops, also while their class was served well. With orders beyond the capacity, orders were refused in favour of browsing that nothing had shut out.

Cause: kept_share is a fixed part of the ranks.

Change: decisions.min_served_share takes its place. Each entry counts what it serves and loses to load, by path, over some seconds. While a path falls short of the share, this part of its requests is treated as critical; else classes are refused in order. kept_share is deprecated and named by `papayabay check`. New counter calls.promoted.

--- a/packages/papayabay-core/src/papayabay_core/calls.py
+++ b/packages/papayabay-core/src/papayabay_core/calls.py
@@ -120,9 +120,9 @@
     def policy_class(self):
         """The importance class that policy declares for the call.
 
-        A share of the less important requests is admitted as if critical, so
-        that overload does not shed their class completely. Other scarce
-        resources, such as the retry budget, go by the declared class.
+        Some requests of a path that is served too seldom are admitted as if
+        critical; see `ServedShares`. Other scarce resources, such as the retry
+        budget, go by the declared class.
         """
         return self.importance if self.declared_class is None else self.declared_class
 
--- a/packages/papayabay-core/src/papayabay_core/policy/deprecated.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/deprecated.py
@@ -1,6 +1,6 @@
 """Policy keys that are still accepted and no longer have an effect."""
 
-DEPRECATED_DECISIONS = ("return_times",)
+DEPRECATED_DECISIONS = ("kept_share", "return_times")
 DEPRECATED_ADMISSION = ("overload_hold_ms",)
 
 
--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -24,14 +24,15 @@
 class Decisions(Strict, frozen=True, kw_only=True):
     """Algorithm used for each decision; the bench compares them.
 
-    `return_times` is deprecated and has no effect.
+    `kept_share` and `return_times` are deprecated and have no effect.
     """
 
     admission: Literal["ranked", "dagor", "codel", "gradient", "static", "open"] = (
         "ranked"
     )
     shared_rank: bool = True
-    kept_share: Share = 0.0
+    kept_share: Share | None = None
+    min_served_share: Share = 0.0
     upstream_refusal: bool = True
     retries: Literal["credits", "per-hop"] = "credits"
     per_hop_retries: Annotated[int, Meta(ge=0, le=10)] = 3
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/components.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/components.py
@@ -34,6 +34,8 @@
     entered, left : int
         Requests from callers, and those whose caller disconnected before the
         answer.
+    promoted : int
+        Requests treated as critical, as their path was served too seldom.
     outgoing : int
         Calls made by the target beside this daemon.
     received : int
@@ -48,6 +50,7 @@
 
     entered: int = 0
     left: int = 0
+    promoted: int = 0
     outgoing: int = 0
     received: int = 0
     forwarded: int = 0
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
@@ -11,6 +11,7 @@
     rank_of,
     scaled_rank,
 )
+from papayabay_daemon._internal.lifetime.served_shares import ServedShares
 from papayabay_daemon._internal.lifetime.work_order import WorkOrder
 
 UNLIMITED_LIFETIME_SECONDS = 600.0
@@ -29,6 +30,7 @@
     def __init__(self, components):
         self.components = components
         self.work_order = WorkOrder()
+        self.served_shares = ServedShares()
 
     def create(self, incoming, rule, request_id, identity=None):
         """Return the root call of a request.
@@ -93,7 +95,11 @@
         decisions : Decisions
             Of the policy in force.
         """
-        importance, rank = effective_priority(declared, rank, decisions.kept_share)
+        importance = declared
+        min_share = decisions.min_served_share
+        if min_share and self.served_shares.falls_short(rule.path_key, min_share):
+            importance, rank = effective_priority(declared, rank, min_share)
+            self.components.counters.promoted += importance is not declared
         if decisions.equals == "work" and importance is declared:
             factor = self.work_factor(rule)
             if factor != 1.0:
@@ -108,6 +114,11 @@
             rank = rank_in_account_class(rule.importance, rank)
         return importance, rank
 
+    def record_end(self, rule, answer):
+        """Count a request that entered here, for its path's served share."""
+        if self.components.policy().decisions.min_served_share:
+            self.served_shares.record(rule.path_key, answer)
+
     def work_factor(self, rule):
         """Return the factor of a request's rank for the work of its path."""
         path_key = rule.path_key
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/flow.py
@@ -94,6 +94,8 @@
             self.end_request()
         elapsed = now() - started
         self.count_answer(rule, answer, elapsed)
+        if rule is not None and not incoming.call_token:
+            self.entries.record_end(rule, answer)
         if answer.kind is not None and components.log.acquire():
             self.log_answer(incoming, request_id, rule, answer, elapsed)
         if not incoming.request_id:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -20,28 +20,26 @@
     return digest >> (HASH_BITS - RANK_BITS)
 
 
-def effective_priority(importance, rank, kept_share):
+def effective_priority(importance, rank, critical_share):
     """Return the class and rank that a request has in all queues.
 
-    If critical requests alone overload a service, all other requests would be
-    refused for as long as the overload lasts, whichever caller sent them. So
-    the requests with the best ranks of each class are treated as critical,
-    spread over all critical ranks. Since the rank is the same at every hop,
-    every hop treats the same requests as critical, and these are admitted
-    with all their calls.
+    If critical requests alone overload a service, all other requests are
+    refused for as long as the overload lasts. Of a path that is served too
+    seldom, the requests with the best ranks are treated as critical, spread
+    over all critical ranks. Their calls have the same class at every hop.
 
     Parameters
     ----------
     importance : Importance
         Class that the policy gives the request.
     rank : int
-    kept_share : float
-        Share of the requests to treat as critical.
+    critical_share : float
+        Share of the requests to treat as critical; see `ServedShares`.
     """
-    critical_ranks = kept_share * RANKS
+    critical_ranks = critical_share * RANKS
     if importance is CRITICAL or rank >= critical_ranks:
         return importance, rank
-    return CRITICAL, int(rank / kept_share)
+    return CRITICAL, int(rank / critical_share)
 
 
 def rank_in_account_class(importance, rank):
--- a/tests/unit/daemon/test_calls_slack.py
+++ b/tests/unit/daemon/test_calls_slack.py
@@ -65,14 +65,16 @@
 
 
 class FlowTests(unittest.TestCase):
-    def enter(self, order="due", kept_share=0.0, account="normal"):
+    def enter(self, order="due", short=False, account="normal"):
         policy = account_policy(small={"importance": account})
         decisions = policy.decisions.model_copy(
-            update={"queue_order": order, "kept_share": kept_share}
+            update={"queue_order": order, "min_served_share": 1.0}
         )
         policy.document = policy.document.model_copy(update={"decisions": decisions})
         self.flow = flow_of(policy)
-        self.flow.components.counters = SimpleNamespace(outgoing=0)
+        self.flow.components.counters = SimpleNamespace(outgoing=0, promoted=0)
+        shares = SimpleNamespace(falls_short=lambda *path: short)
+        self.flow.entries.served_shares = shares
         rule = replace(
             rule_of(policy),
             importance=Importance.SHEDDABLE,
@@ -85,7 +87,7 @@
         """Guards against unimportant paths that go first by their depth."""
         call, _ = self.enter()
         self.assertEqual((call.importance, call.path_class), (1, 2))
-        self.assertEqual(self.enter(kept_share=1.0)[0].path_class, 0)
+        self.assertEqual(self.enter(short=True)[0].path_class, 0)
         frame = call_frames.encode_call(
             1, structs.replace(call, rest_s=0.2), b"", True, 0, 0
         )
--- a/tests/unit/daemon/test_lifetime_entry.py
+++ b/tests/unit/daemon/test_lifetime_entry.py
@@ -21,11 +21,7 @@
 
 class EffectivePriorityTests(unittest.TestCase):
     def test_a_share_of_every_class_is_treated_as_critical(self):
-        """Most lookups were refused for as long as an overload lasted.
-
-        Orders alone filled the remaining capacity of a service. Every lookup
-        was of a lower class than all orders, and only 5 in 100 were served.
-        """
+        """Guards against promoted requests that all get the best ranks."""
         kept = [
             effective_priority(Importance.SHEDDABLE, rank, 0.125)
             for rank in range(RANKS)
--- a/tests/unit/daemon/test_work_order.py
+++ b/tests/unit/daemon/test_work_order.py
@@ -86,7 +86,10 @@
         policy = Policy(validate_policy({"decisions": decisions}, "test"))
         work = {HEAVY: 430.0, LIGHT: 43.0}
         router = SimpleNamespace(path_work=lambda service, key: work.get(key, 0.0))
-        components = SimpleNamespace(policy=lambda: policy, router=router)
+        counters = SimpleNamespace(promoted=0)
+        components = SimpleNamespace(
+            policy=lambda: policy, router=router, counters=counters
+        )
         return CallFlow(components, None, None, None, None, None, None)
 
     def rule(self, path_key):
@@ -95,8 +98,9 @@
             deadline_ms=2_000, retry_credits=0, idempotent=True, attempts=0,
         )  # fmt: skip
 
-    def priority(self, path_key, **decisions):
-        flow = self.flow(**decisions)
+    def priority(self, path_key, short=False, **decisions):
+        flow = self.flow(min_served_share=1.0, **decisions)
+        flow.entries.served_shares = SimpleNamespace(falls_short=lambda *path: short)
         for key in (HEAVY, path_key):
             call = flow.entries.create(self.incoming, self.rule(key), "id")
         return call.importance, call.rank
@@ -108,8 +112,8 @@
         self.assertEqual(self.priority(LIGHT, equals="work"), (1, int(rank * 0.1)))
         self.assertEqual(self.priority(HEAVY, equals="work"), (1, rank))
         self.assertEqual(self.priority("s/new", equals="work"), (1, rank))
-        kept = self.priority(LIGHT, equals="work", kept_share=1.0)
-        self.assertEqual(kept, (0, rank))
+        promoted = self.priority(LIGHT, short=True, equals="work")
+        self.assertEqual(promoted, (0, rank))
 
     def test_refused_request_is_logged_with_its_work(self):
         """Guards against refusals whose reason the decision log lacks."""
