Keep heavy paths from being shut out by lighter ones of their class

What callers saw: with equals = "work", requests of a class go in the order of the scarce work that they take. In a long overload those of the heaviest path of a class got nothing for as long as lighter ones filled the capacity. A promoted request of a lesser class kept its rank and so went behind all lighter critical ones.

Cause: the order had no bound; min_served_share raised the class, not the rank.

Change: while a path falls short of min_served_share, the part of its requests that it names gets ranks like those of the lightest path, also within the critical class. Class, path class and rank of a request are one value, Priority, so that a promoted request of an account's class counts as one of an important path too.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
@@ -1,12 +1,13 @@
 """Root calls of requests: their priority, deadline and due time."""
 
 from papayabay_core.calls import Call
+from papayabay_core.importance import RANKS, Importance
 from papayabay_core.policy.accounts import Account
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.slack import entry_due_at
 from papayabay_daemon._internal.lifetime.deadlines import entry_deadline
 from papayabay_daemon._internal.lifetime.ranks import (
-    effective_priority,
+    Priority,
     rank_in_account_class,
     rank_of,
     scaled_rank,
@@ -16,6 +17,7 @@
 
 UNLIMITED_LIFETIME_SECONDS = 600.0
 """Lifetime of a request if the policy turns deadlines off."""
+CRITICAL = Importance.CRITICAL
 NO_ACCOUNT = Account(name="", importance=None, limit=None)
 
 
@@ -58,7 +60,8 @@
         account = identity.account if identity else NO_ACCOUNT
         declared = rule.importance if account.importance is None else account.importance
         rank = rank_of(incoming.idempotency_key or request_id)
-        importance, rank = self.priority(rule, account, declared, rank, decisions)
+        priority = self.priority(rule, account, declared, rank, decisions)
+        importance = priority.importance
         return Call(
             request_id=request_id,
             service=incoming.service,
@@ -67,8 +70,8 @@
             headers=incoming.headers,
             body=incoming.body,
             importance=importance,
-            rank=rank,
-            path_class=int(rule.importance if importance is declared else importance),
+            rank=priority.rank,
+            path_class=int(priority.path_class),
             depth=0,
             expires_at=expires_at,
             due_at=due_at,
@@ -83,7 +86,7 @@
         )
 
     def priority(self, rule, account, declared, rank, decisions):
-        """Return the class and rank that a request has in all queues.
+        """Return the `Priority` that a request has in all queues.
 
         Parameters
         ----------
@@ -95,24 +98,24 @@
         decisions : Decisions
             Of the policy in force.
         """
-        importance = declared
+        by_work = decisions.equals == "work"
+        factor = self.work_factor(rule) if by_work else 1.0
+        priority = Priority(declared, rule.importance, scaled_rank(rank, factor))
         min_share = decisions.min_served_share
-        if min_share and self.served_shares.falls_short(rule.path_key, min_share):
-            importance, rank = effective_priority(declared, rank, min_share)
-            self.components.counters.promoted += importance is not declared
-        if decisions.equals == "work" and importance is declared:
-            factor = self.work_factor(rule)
-            if factor != 1.0:
-                rank = scaled_rank(rank, factor)
+        if rank < min_share * RANKS and self.served_shares.falls_short(
+            rule.path_key, min_share
+        ):
+            # Where lighter paths go first, only a rank like theirs helps.
+            factor = self.work_order.smallest_factor(CRITICAL) if by_work else 1.0
+            promoted = scaled_rank(rank, factor / min_share)
+            priority = priority.promoted(promoted)
+            self.components.counters.promoted += 1
         if decisions.account_shares == "max-min":
-            # Also for requests treated as critical: all ranks of a class must
-            # have the same scale, else these would be refused first.
             factor = self.share_factor(account)
-            if factor != 1.0:
-                rank = scaled_rank(rank, factor)
-        if account.importance is not None and importance is declared:
-            rank = rank_in_account_class(rule.importance, rank)
-        return importance, rank
+            priority.rank = scaled_rank(priority.rank, factor)
+        if account.importance is not None and priority.importance is declared:
+            priority.rank = rank_in_account_class(priority.path_class, priority.rank)
+        return priority
 
     def record_end(self, rule, answer):
         """Count a request that entered here, for its path's served share."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/ranks.py
@@ -1,5 +1,7 @@
 """Ranks: the order in which requests of one class are refused."""
 
+from dataclasses import dataclass
+
 import xxhash
 
 from papayabay_core.importance import RANK_BITS, RANKS, Importance
@@ -20,26 +22,34 @@
     return digest >> (HASH_BITS - RANK_BITS)
 
 
-def effective_priority(importance, rank, critical_share):
-    """Return the class and rank that a request has in all queues.
-
-    If critical requests alone overload a service, all other requests are
-    refused for as long as the overload lasts. Of a path that is served too
-    seldom, the requests with the best ranks are treated as critical, spread
-    over all critical ranks. Their calls have the same class at every hop.
+@dataclass(slots=True)
+class Priority:
+    """Place of a request in the order of all queues.
 
-    Parameters
+    Attributes
     ----------
     importance : Importance
-        Class that the policy gives the request.
+        Class of the request, of its account where that sets one.
+    path_class : Importance
+        Class of the call path.
     rank : int
-    critical_share : float
-        Share of the requests to treat as critical; see `ServedShares`.
     """
-    critical_ranks = critical_share * RANKS
-    if importance is CRITICAL or rank >= critical_ranks:
-        return importance, rank
-    return CRITICAL, int(rank / critical_share)
+
+    importance: Importance
+    path_class: Importance
+    rank: int
+
+    def promoted(self, rank):
+        """Return the priority as a critical request with a rank.
+
+        If critical requests alone overload a service, all other requests are
+        refused for as long as the overload lasts. Some requests of a path that
+        is served too seldom are therefore treated as critical, with all their
+        calls.
+        """
+        if self.importance is CRITICAL and self.path_class is CRITICAL:
+            rank = min(rank, self.rank)
+        return Priority(CRITICAL, CRITICAL, rank)
 
 
 def rank_in_account_class(importance, rank):
@@ -69,6 +79,8 @@
     factor : float
         At least 0; 1 changes nothing.
     """
+    if factor == 1.0:
+        return rank
     scaled = int(rank * factor)
     return scaled if scaled < RANKS else RANKS - 1
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/work_order.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/work_order.py
@@ -28,21 +28,23 @@
     ----------
     paths : dict of str to (float, float)
         Work in slot milliseconds, and the time it was recorded, by path key.
-    largest : float
-        Largest work, found at the latest update.
+    largest, smallest : float
+        Largest and smallest work, found at the latest update.
     update_at : float
         Time of the next update.
     is_ordered : bool
         Whether several paths of the class are known to take work.
     """
 
-    __slots__ = ("importance", "is_ordered", "largest", "paths", "update_at")
+    __slots__ = (
+        "importance", "is_ordered", "largest", "paths", "smallest", "update_at",
+    )  # fmt: skip
 
     def __init__(self, importance):
         self.importance = importance
         self.is_ordered = False
         self.paths = {}
-        self.largest = 0.0
+        self.largest = self.smallest = 0.0
         self.update_at = float("-inf")
 
     def record(self, path_key, work_ms, at):
@@ -66,7 +68,9 @@
             for path_key, entry in self.paths.items()
             if at - entry[1] <= WORK_TTL_S
         }
-        self.largest = max((work for work, _ in self.paths.values()), default=0.0)
+        works = [work for work, _ in self.paths.values()]
+        self.largest = max(works, default=0.0)
+        self.smallest = min(works, default=0.0)
         is_ordered = len(self.paths) > 1
         if is_ordered != self.is_ordered:
             self.is_ordered = is_ordered
@@ -122,3 +126,16 @@
         if class_work.paths:
             class_work.expire(self.clock())
         return 1.0
+
+    def smallest_factor(self, importance):
+        """Return the factor of the path that takes the least work of a class.
+
+        Parameters
+        ----------
+        importance : Importance
+            Class of the call path.
+        """
+        class_work = self.classes[importance]
+        if not class_work.largest:
+            return 1.0
+        return class_work.smallest / class_work.largest
