Let the wait of a call follow from its slack

What callers saw: how long a call waited in a queue was a fixed time by class: 150 ms for normal and sheddable calls, however little time they had left, at least that and 0.4 of the remaining lifetime for critical ones, and twice the 150 ms for calls with a depth. A call with 300 ms left lost half of them in one queue and was then refused, with too little left for another attempt.

Cause: the waits were figures of the classes, not of the callers.

Change: a call waits for a third of its slack, the time that its caller has less the work that is left; the rest is for the queues of its own calls and for another attempt. With queue_order = "due", calls with a depth wait for all of it, as it is shared by the calls still to come. queue_max_ms stays as the longest burst that a queue absorbs of calls that are not critical and for which no work was done: a queue that stands longer serves no more of them, it only tells them later (CoDel). The share is the same for all classes.

Measured result: test_no_class_waits_beyond_its_share_of_the_slack on the old code: refused after 150 ms of 300; now within 100.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
@@ -6,14 +6,14 @@
 
 MIN_QUEUE = 2
 """Calls that may be queued in any case."""
-CRITICAL_WAIT_SHARE = 0.4
-"""Share of its remaining lifetime that a critical call may wait."""
-DEEP_WAIT_FACTOR = 2.0
-"""Longest wait of calls with a depth, as a multiple of `queue_max_ms`."""
+WAIT_SHARE = 1 / 3
+"""Share of its slack that a call may wait in one queue. The rest is left for
+the queues of its own calls, and for another attempt if it is refused here."""
 MIN_TARGET_CALLS = 2
 """Queued calls that the target queueing time always leaves room for."""
 MAX_QUEUE = 10_000
 MIN_INTERVAL_S = 1e-7
+MIN_RECHECK_S = 0.01
 
 
 class Ranked:
@@ -74,7 +74,8 @@
 
     def recheck_time(self, call, now):
         """Return when to check whether a call was overtaken."""
-        return min(call.expires_at, now + self.max_wait(call, now))
+        wait_s = max(MIN_RECHECK_S, self.longest_wait(call, now))
+        return min(call.expires_at, now + wait_s)
 
     def recheck(self, waiting, now):
         """Refuse a call that was overtaken; otherwise extend its wait.
@@ -140,31 +141,36 @@
         """Return the longest queue allowed while this is its worst call.
 
         A long queue absorbs a burst. A full one absorbs nothing more and only
-        adds its whole length to the wait of each call. A standing queue is
-        therefore limited to its target time, as in CoDel. Calls on which
-        upstream services have spent work are exempt, since the threshold
-        limits how many more of them arrive. Critical calls may wait for a
-        share of their remaining lifetime: if they are the worst calls in the
-        queue, no other call can be refused in their favour.
+        adds its whole length to the wait of each call. So the worst call has
+        to be served within the longest wait that it can afford now.
         """
-        max_wait_s = self.max_wait(worst, now)
         interval_s = max(
             self.control.capacity.call_interval(self.limit(now)), MIN_INTERVAL_S
         )
-        fitting_calls = int(max_wait_s / interval_s)
+        fitting_calls = int(self.longest_wait(worst, now) / interval_s)
         return min(max(fitting_calls, MIN_QUEUE), MAX_QUEUE)
 
-    def max_wait(self, call, now):
-        """Return the longest acceptable wait of a call, in seconds."""
+    def longest_wait(self, call, now):
+        """Return how long a call may wait from now on, in seconds.
+
+        It is a share of the call's slack. Calls that are not critical, and on
+        which no work was spent yet, wait no longer than a burst may last. In a
+        standing queue they wait for the target time only: a longer wait would
+        end in a refusal with less time left for another attempt. Critical
+        calls are served before those that a queue stands of.
+        """
         settings = self.control.inputs.settings
-        max_wait_s = settings.queue_max_ms / 1_000
-        if call.importance is Importance.CRITICAL:
-            return max(max_wait_s, CRITICAL_WAIT_SHARE * (call.expires_at - now))
-        if call.depth:
-            return max_wait_s * DEEP_WAIT_FACTOR
-        if self.has_standing_queue(now):
-            return settings.queue_target_ms / 1_000
-        return max_wait_s
+        wait_s = max(0.0, WAIT_SHARE * self.slack(call, now))
+        if call.depth or call.importance is Importance.CRITICAL:
+            return wait_s
+        standing = self.has_standing_queue(now)
+        burst_ms = settings.queue_target_ms if standing else settings.queue_max_ms
+        return min(wait_s, burst_ms / 1_000)
+
+    def slack(self, call, now):
+        """Return how long a call can wait and still be in time, in seconds."""
+        times = self.control.times.paths.get(call.path_key)
+        return call.expires_at - call.rest_s - (times.low if times else 0.0) - now
 
     def has_standing_queue(self, now):
         """Whether calls lacked room since the queue was last empty.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -11,9 +11,8 @@
 from papayabay_daemon._internal.admission.overload import QUIET_SECONDS
 from papayabay_daemon._internal.admission.queues import BUCKET_SHIFT
 from papayabay_daemon._internal.admission.ranked import (
-    CRITICAL_WAIT_SHARE,
-    DEEP_WAIT_FACTOR,
     MIN_QUEUE,
+    MIN_RECHECK_S,
     Ranked,
 )
 from papayabay_daemon._internal.admission.request_queue import RequestQueue
@@ -25,6 +24,9 @@
 surplus, as the calls above the capacity belong to requests that have begun."""
 LAST_CRITICAL_LEVEL = LAST_CRITICAL << BUCKET_SHIFT
 """Lowest threshold that admits all critical calls."""
+DEEP_RECHECK_FACTOR = 2.0
+"""Time after which a call with a depth is checked for being overtaken, as a
+multiple of `queue_max_ms`. It stays queued, but counts for the threshold."""
 log = logbook.Logger("papayabay.admission")
 
 
@@ -104,12 +106,25 @@
         times = self.control.times.paths.get(call.path_key)
         return times.low if times else 0.0
 
-    def useful_wait(self, call, now):
-        """Return how long a call can wait and its request still be in time."""
-        useful_s = call.expires_at - call.rest_s - self.low_time(call) - now
+    def slack(self, call, now):
+        """Return how long a call can wait and still be in time, in seconds.
+
+        A call without a depth has to be answered when it is due.
+        """
+        slack_s = super().slack(call, now)
         if call.depth:
-            return useful_s
-        return min(useful_s, self.start_by(call) - now)
+            return slack_s
+        return min(slack_s, self.start_by(call) - now)
+
+    def longest_wait(self, call, now):
+        """Return how long a call may wait from now on, in seconds.
+
+        The slack of a call with a depth is shared by the calls still to come
+        of its request, so that it may wait for all of it.
+        """
+        if call.depth:
+            return max(0.0, self.slack(call, now))
+        return super().longest_wait(call, now)
 
     def is_feasible(self, waiting, now):
         """Whether a call can be in time behind the calls queued ahead."""
@@ -120,17 +135,17 @@
         if not calls_ahead and not until_open_s:
             return True
         wait_s = calls_ahead * self.control.capacity.call_interval(self.limit(now))
-        return until_open_s + wait_s <= self.useful_wait(waiting.call, now)
+        return until_open_s + wait_s <= self.slack(waiting.call, now)
 
     def recheck_time(self, call, now):
         """Return when a call may have waited too long."""
-        max_wait_s = self.max_wait(call, now)
-        if max_wait_s <= 0.0:
+        wait_s = self.longest_wait(call, now)
+        if wait_s <= 0.0:
             return call.expires_at
         if call.depth:
-            usual_s = self.control.inputs.settings.queue_max_ms / 1_000
-            max_wait_s = min(max_wait_s, DEEP_WAIT_FACTOR * usual_s)
-        return min(call.expires_at, now + max_wait_s)
+            burst_s = self.control.inputs.settings.queue_max_ms / 1_000
+            wait_s = min(wait_s, DEEP_RECHECK_FACTOR * burst_s)
+        return min(call.expires_at, now + max(MIN_RECHECK_S, wait_s))
 
     def recheck(self, waiting, now):
         """Refuse a call that was overtaken or that can't be in time.
@@ -182,19 +197,6 @@
         if importance is Importance.CRITICAL and waiting.start_by >= waiting.arrived_at:
             self.threshold.record_refusal(importance)
 
-    def max_wait(self, call, now):
-        """Return the longest acceptable wait of a call, in seconds."""
-        useful_s = self.useful_wait(call, now)
-        if call.depth:
-            return useful_s
-        settings = self.control.inputs.settings
-        if call.importance is Importance.CRITICAL:
-            share_s = CRITICAL_WAIT_SHARE * (self.start_by(call) - now)
-            return min(useful_s, max(share_s, settings.queue_max_ms / 1_000))
-        if self.has_standing_queue(now):
-            return min(useful_s, settings.queue_target_ms / 1_000)
-        return min(useful_s, settings.queue_max_ms / 1_000)
-
     def level(self, now):
         """Return the threshold by which callers' daemons refuse early."""
         level = self.threshold.current(now)
--- a/tests/unit/daemon/test_admission_ranked.py
+++ b/tests/unit/daemon/test_admission_ranked.py
@@ -163,6 +163,28 @@
         control.stop_admitting()
         await settle()
 
+    @in_virtual_time
+    async def test_no_class_waits_beyond_its_share_of_the_slack(self, clock):
+        """Guards against waits that leave no time for another attempt."""
+        for order in ("depth", "due"):
+            control = make_control(clock, slots=1, queue_order=order)
+            running = await control.admit(make_call(clock, CRITICAL))
+            queued_at = clock()
+            waiting = [
+                start_admit(control, make_call(clock, importance, lifetime=0.3))
+                for importance in (NORMAL, SHEDDABLE)
+            ]
+            await settle()
+            await asyncio.sleep(0.01)
+            order_call = start_admit(control, make_call(clock, CRITICAL))
+            await settle()
+            running.finish(OK)
+            await order_call
+            for task in waiting:
+                self.assertEqual(await task, ErrorKind.OVERLOADED)
+                self.assertLessEqual(clock() - queued_at, 0.11)
+            control.stop_admitting()
+
     @in_virtual_time
     async def test_call_that_cannot_finish_is_refused_after_a_probe(self, clock):
         control = make_control(clock)
