Say what each wait, refusal and order follows from

Comments of hints, Retry-After by class, late critical calls and the preference for the own failure domain give the caller's reason. No decision changes.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -188,6 +188,7 @@
     def record_late(self, waiting):
         """Count a call that gets its slot too late to be answered when due.
 
+        It is due by the latency objective that the operator set for its path.
         A critical call that became late in this queue counts as refused for
         the threshold. Otherwise critical requests would be held back only
         once the queue has refused one, when many already time out.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/hints.py
@@ -9,7 +9,8 @@
 RELAX_SECONDS = 0.5
 """Time after the TTL in which a level rises to "all admitted"."""
 CRITICAL_HINT_TTL_SECONDS = 0.2
-"""Time for which a reported level holds back critical calls."""
+"""Time for which a reported level holds back critical calls. They are refused
+last, so not by a level that may be outdated."""
 NEARLY_ADMIT_ALL = ADMIT_ALL - RANKS // 64
 """Level from which an average is treated as "all admitted"."""
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/strategies.py
@@ -73,10 +73,10 @@
     def pick_own_domain(self, pool, call, level, excluded, at):
         """Return the least used upstream of the own failure domain, or None.
 
-        Traffic between failure domains costs money and a millisecond or two of
-        latency. A queue or a failing target costs far more, so only healthy
-        upstreams below the usage limit are preferred; the others compete with
-        the rest of the subset.
+        Traffic between failure domains costs a millisecond or two of latency,
+        and money. A queue or a failing target costs callers far more, so only
+        healthy upstreams below the usage limit are preferred; the others
+        compete with the rest of the subset.
         """
         if pool.completion is not None:
             return self.pick_own_pair(pool, call, level, excluded, at)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -19,6 +19,7 @@
     Importance.NORMAL: 500,
     Importance.SHEDDABLE: 1_000,
 }
+"""Mean delays. After an overload the least important class reopens last."""
 
 
 class RoutingTable:
