Absorb a whole burst before a queue counts as standing

What callers saw: a target with time for 60 calls in its queue served 11 calls of a burst of 120, all with five seconds left. As soon as the queue was full, the next call made it as short as that of a long overload, and all but the first calls of the burst were refused at once.

Cause: a queue counted as standing from the first call that lacked room, as before from the first refusal. That it was full says nothing of how long it will last.

Change: a queue stands once it has lasted longer than the burst that it is made for, without being empty, and calls lacked room in it. Without deadlines, which leave no slack to take a share of, all calls wait for a burst at most.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
@@ -157,11 +157,13 @@
         which no work was spent yet, wait no longer than a burst may last. In a
         standing queue they wait for the target time only: a longer wait would
         end in a refusal with less time left for another attempt. Critical
-        calls are served before those that a queue stands of.
+        calls are served before those that a queue stands of. Without deadlines
+        there is no slack, and all calls wait for a burst at most.
         """
         settings = self.control.inputs.settings
         wait_s = max(0.0, WAIT_SHARE * self.slack(call, now))
-        if call.depth or call.importance is Importance.CRITICAL:
+        is_spared = call.depth or call.importance is Importance.CRITICAL
+        if is_spared and self.enforces_deadlines:
             return wait_s
         standing = self.has_standing_queue(now)
         burst_ms = settings.queue_target_ms if standing else settings.queue_max_ms
@@ -173,12 +175,14 @@
         return call.expires_at - call.rest_s - (times.low if times else 0.0) - now
 
     def has_standing_queue(self, now):
-        """Whether calls lacked room since the queue was last empty.
+        """Whether the queue outlasted a burst, and calls lacked room in it.
 
-        Such a queue is no burst that passes. It delays all calls without more
-        of them being served. See Maurer, "Fail at Scale", ACM Queue 2015.
+        It then delays all calls without more of them being served. See Maurer,
+        "Fail at Scale", ACM Queue 2015.
         """
-        return self.queue.size > 0 and self.refused_at >= self.empty_at
+        burst_s = self.control.inputs.settings.queue_max_ms / 1_000
+        lacked_room = self.refused_at >= self.empty_at
+        return self.queue.size > 0 and lacked_room and now - self.empty_at > burst_s
 
     def target(self, call_s):
         """Return the target of the queueing time, in seconds.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/entry.py
@@ -111,6 +111,7 @@
             priority = priority.promoted(promoted)
             self.components.counters.promoted += 1
         if decisions.account_shares == "max-min":
+            # Also for promoted requests: all ranks of a class have one scale.
             factor = self.share_factor(account)
             priority.rank = scaled_rank(priority.rank, factor)
         if account.importance is not None and priority.importance is declared:
--- a/tests/unit/daemon/test_admission_ranked.py
+++ b/tests/unit/daemon/test_admission_ranked.py
@@ -185,6 +185,19 @@
                 self.assertLessEqual(clock() - queued_at, 0.11)
             control.stop_admitting()
 
+    @in_virtual_time
+    async def test_queue_is_bounded_without_deadlines(self, clock):
+        """Guards against a queue that grows as no time bounds it."""
+        control = make_control(clock, slots=1, deadlines=False, queue_max_ms=100)
+        await train(control, clock, 0.02)
+        await control.admit(make_call(clock))
+        calls = [make_call(clock, CRITICAL, lifetime=600.0) for _ in range(50)]
+        waiting = [start_admit(control, call) for call in calls]
+        await settle()
+        self.assertIn(control.scheme.queue.size, (4, 5))
+        control.stop_admitting()
+        await asyncio.gather(*waiting)
+
     @in_virtual_time
     async def test_call_that_cannot_finish_is_refused_after_a_probe(self, clock):
         control = make_control(clock)
--- a/tests/unit/daemon/test_slot_grants.py
+++ b/tests/unit/daemon/test_slot_grants.py
@@ -14,6 +14,7 @@
     make_control,
     run_virtual,
     start_admit,
+    train,
 )
 
 CRITICAL, NORMAL, SHEDDABLE = Importance
@@ -188,6 +189,23 @@
                     self.assertEqual(counters.idle_refusals, 0)
                     self.assertEqual(audit.control.checks.waiting, [0, 0, 0])
 
+    def test_burst_is_served_as_far_as_it_can_wait(self):
+        """Guards against a burst that is cut to the target time by one call.
+
+        Once the queue was full, the next call made it as short as a queue that
+        has stood for long, and most calls of a burst were refused.
+        """
+        burst_calls = int(0.15 * SLOTS / SERVICE_S)
+
+        async def run_burst(clock):
+            control = make_control(clock, slots=SLOTS, queue_max_ms=150)
+            await train(control, clock, SERVICE_S)
+            calls = [make_call(clock, lifetime=5.0) for _ in range(2 * burst_calls)]
+            kinds = await asyncio.gather(*(run_call(control, call) for call in calls))
+            return kinds.count(None)
+
+        self.assertGreaterEqual(run_virtual(run_burst), burst_calls)
+
     @in_virtual_time
     async def test_calls_served_before_an_order_are_counted(self, clock):
         """Guards against a check that a scheme without classes would pass."""
