--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/measures.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/measures.py
@@ -22,7 +22,7 @@
 from papayabay_bench.measures.windows import Window
 from papayabay_bench.scenarios.bound import achievable_rate
 from papayabay_bench.scenarios.retries import most_retries
-from papayabay_bench.scenarios.samples import counted
+from papayabay_bench.scenarios.samples import counter_increase
 from papayabay_bench.targets.records import End
 
 WINDOWS = ("before", "overload", "after", "whole")
@@ -236,7 +236,7 @@
     """Return a function that computes the increase of an admission counter."""
 
     def compute(run_data, importance, window):
-        return counted(run_data.samples, window, name)
+        return counter_increase(run_data.samples, window, name)
 
     return compute
 
--- a/packages/papayabay-bench/src/papayabay_bench/scenarios/samples.py
+++ b/packages/papayabay-bench/src/papayabay_bench/scenarios/samples.py
@@ -121,7 +121,7 @@
     }
 
 
-def counted(samples, window, counter):
+def counter_increase(samples, window, counter):
     """Return the increase of an admission counter at all daemons."""
     return sum(
         max(0, getattr(after, counter) - getattr(before, counter))
--- a/tests/unit/bench/test_scenario_bound.py
+++ b/tests/unit/bench/test_scenario_bound.py
@@ -8,7 +8,11 @@
 from papayabay_bench.scenarios.expectations import evaluate
 from papayabay_bench.scenarios.measures import RunData, windows_of
 from papayabay_bench.scenarios.parser import parse_scenario
-from papayabay_bench.scenarios.samples import Sample, admission_counts, counted
+from papayabay_bench.scenarios.samples import (
+    Sample,
+    admission_counts,
+    counter_increase,
+)
 
 TEXT = """scenario "bound"
 scale "one"
@@ -160,5 +164,7 @@
             for daemon in "ab"
             for time, count in ((0.5, 1), (1.0, 3), (1.5, 0), (3.0, 8))
         ]
-        self.assertEqual(counted(samples, Window(0.0, 2.0), "inversions"), 4)
-        self.assertEqual(counted(samples, Window(0.0, 2.0), "idle_refusals"), 0)
+        self.assertEqual(counter_increase(samples, Window(0.0, 2.0), "inversions"), 4)
+        self.assertEqual(
+            counter_increase(samples, Window(0.0, 2.0), "idle_refusals"), 0
+        )
