Tell refused callers how long admission takes for their class

What callers saw: an entry told each refused page to come back after about a second and each lookup after half of one, however long the class had been shut out, so that they came back to be refused again. A target told all classes a time that grew with its overload: a refused order, of a class of which nearly all were admitted, was told to wait for five seconds like a page.

Cause: Retry-After followed from a table of classes and from the length of the overload, not from when the caller can expect to be admitted.

Change: entries, by service, and targets keep the recent share of admitted calls for each class. A refused call is told 200 ms divided by that share, with jitter, at most 5 s: the mean time that it would otherwise spend on coming back each 200 ms. Calls of requests that have begun don't count at entries.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -270,8 +270,7 @@
 
     def enqueue(self, call, now):
         self.arrivals += 1
-        if self.scheme.queue.size:
-            self.dispatch(now)
+        self.dispatch(now)
         # Each look-up of the running loop is a system call in Python 3.11.
         if self.loop is None:
             self.loop = asyncio.get_running_loop()
@@ -313,6 +312,7 @@
             self.rate_limit.use(now)
         self.slot_use.set_in_flight(self.in_flight, now)
         self.counters.admitted[call.importance] += 1
+        self.refusals.retry_delays.record_admitted(call.importance)
         self.mean_queue_s += QUEUE_TIME_WEIGHT * (waited_s - self.mean_queue_s)
         self.scheme.granted(waited_s, now)
         return SlotTicket(self, call, self.host_speed.work_time(now))
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/refusals.py
@@ -4,7 +4,7 @@
 from papayabay_core.utils.clock import whole_ms
 from papayabay_daemon._internal.admission.downstream import DownstreamLevels
 from papayabay_daemon._internal.admission.overload import OverloadLog
-from papayabay_daemon._internal.admission.retry_after import RetryAfter
+from papayabay_daemon._internal.retries.retry_delays import RetryDelays
 
 
 class Refusals:
@@ -19,6 +19,7 @@
     ----------
     downstream : DownstreamLevels
     overload : OverloadLog
+    retry_delays : RetryDelays
     """
 
     def __init__(self, control, inputs):
@@ -27,7 +28,7 @@
         self.capacity = control.capacity
         self.downstream = DownstreamLevels()
         self.overload = OverloadLog(control.read_clock)
-        self.retry_after = RetryAfter(inputs)
+        self.retry_delays = RetryDelays()
         self.reconfigure(inputs)
 
     def reconfigure(self, inputs):
@@ -38,7 +39,8 @@
         admitted at its entry, and refusing it halfway wastes the work that
         was done for it.
         """
-        self.retry_after.reconfigure(inputs)
+        self.random = inputs.random
+        self.tells_retry_after = inputs.decisions.retry_after
         self.refuses_early = inputs.decisions.upstream_refusal
         self.spares_begun = inputs.decisions.queue_order == "due"
 
@@ -84,7 +86,10 @@
 
     def overload_error(self, call, now):
         """Return the error of a call refused for overload."""
-        retry_after_ms = self.retry_after.record_refusal(now)
+        self.retry_delays.record_refused(call.importance)
+        retry_after_ms = 0
+        if self.tells_retry_after:
+            retry_after_ms = self.retry_delays.delay_ms(call.importance, self.random)
         rate_limit = self.capacity.rate_limit
         if retry_after_ms and rate_limit.rate is not None:
             delay_s = rate_limit.retry_delay(self.control.scheme.queue.size, now)
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/pool.py
@@ -4,6 +4,7 @@
 
 from papayabay_core.calls import SERVER_ERROR, Answer
 from papayabay_core.errors import ErrorKind
+from papayabay_daemon._internal.retries.retry_delays import RetryDelays
 from papayabay_daemon._internal.routing.completion import CompletionModel
 from papayabay_daemon._internal.routing.ejection import FAILURE_POINTS, may_eject
 from papayabay_daemon._internal.routing.hints import AdmissionHints
@@ -40,6 +41,8 @@
     turn : int
         Counts the calls of the round-robin strategy.
     work : PathWork
+    retry_delays : RetryDelays
+        Of the requests that enter at this daemon.
     """
 
     __slots__ = (
@@ -50,6 +53,7 @@
         "own_domain",
         "policy",
         "reserve",
+        "retry_delays",
         "routing",
         "source",
         "states",
@@ -62,6 +66,7 @@
         self.ejections = ejections
         self.hints = AdmissionHints(weight=SERVICE_HINT_WEIGHT)
         self.work = PathWork()
+        self.retry_delays = RetryDelays()
         self.source = None
         self.policy = None
         self.routing = None
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/routing/table.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from papayabay_core.errors import CallError, ErrorKind
-from papayabay_core.importance import ADMIT_ALL, Importance
+from papayabay_core.importance import ADMIT_ALL
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.routing.ejection_log import EjectionLog
 from papayabay_daemon._internal.routing.pool import Pool
@@ -14,12 +14,6 @@
 )
 
 MAX_POOLS = 4_096
-RETRY_AFTER_MS = {
-    Importance.CRITICAL: 200,
-    Importance.NORMAL: 500,
-    Importance.SHEDDABLE: 1_000,
-}
-"""Mean delays. After an overload the least important class reopens last."""
 
 
 class RoutingTable:
@@ -80,6 +74,14 @@
             NO_UPSTREAM if no upstream is available; OVERLOADED with
             `retry_after_ms` if all that are available refuse the call's level.
         """
+        member = self.find(call, excluded)
+        if not (call.depth or excluded):
+            delays = self.pools[call.service].retry_delays
+            delays.record_admitted(call.importance)
+        return member
+
+    def find(self, call, excluded):
+        """Return the member to send an attempt to; see `choose`."""
         policy = self.policy_source()
         if policy is not self.policy:
             self.apply_policy(policy)
@@ -106,13 +108,14 @@
         raise CallError(
             ErrorKind.OVERLOADED,
             "all upstreams refuse its level",
-            self.retry_after_ms(call) if policy.decisions.retry_after else 0,
+            self.retry_after_ms(pool, call) if policy.decisions.retry_after else 0,
         )
 
-    def retry_after_ms(self, call):
-        """Return the retry delay, with jitter to spread the callers."""
-        base = RETRY_AFTER_MS[call.importance]
-        return int(base * (0.5 + self.random.random()))
+    def retry_after_ms(self, pool, call):
+        """Count a call that is refused early; return its retry delay."""
+        if not call.depth:
+            pool.retry_delays.record_refused(call.importance)
+        return pool.retry_delays.delay_ms(call.importance, self.random)
 
     def check(self, call):
         """Refuse a call that `choose` would refuse now.
@@ -122,7 +125,7 @@
         CallError
             As `choose` does.
         """
-        self.choose(call, ())
+        self.find(call, ())
 
     def has_other(self, call, excluded):
         """Return whether `choose` would find an upstream for the call."""
--- a/tests/unit/daemon/test_admission_control.py
+++ b/tests/unit/daemon/test_admission_control.py
@@ -154,6 +154,12 @@
 
 
 class RetryAfterTests(unittest.TestCase):
+    async def told(self, control, call):
+        """Return the Retry-After of a call that is refused."""
+        with self.assertRaises(CallError) as raised:
+            await control.admit(call)
+        return raised.exception.retry_after_ms
+
     async def pauses(self, clock, **values):
         control = make_control(clock, **values)
         control.set_downstream_source(lambda: {"p": ADMIT_NONE})
@@ -174,6 +180,22 @@
         self.assertTrue(all(2_500 <= pause <= 7_500 for pause in last))
         self.assertGreater(len(set(last)), 40)
 
+    @in_virtual_time
+    async def test_classes_are_told_their_own_time(self, clock):
+        """Guards against orders that are told to wait for as long as pages."""
+        control = make_control(clock)
+        levels = {"p": level_of(Importance.NORMAL, 0) - 1}
+        control.set_downstream_source(lambda: levels)
+        for _ in range(150):
+            (await control.admit(make_call(clock, Importance.CRITICAL))).finish(OK)
+            page = await self.told(control, make_call(clock, Importance.SHEDDABLE))
+            await asyncio.sleep(0.03)
+        levels["p"] = ADMIT_NONE
+        await asyncio.sleep(0.03)
+        order = await self.told(control, make_call(clock, Importance.CRITICAL))
+        self.assertGreaterEqual(page, 2_500)
+        self.assertLessEqual(order, 400)
+
     @in_virtual_time
     async def test_can_be_switched_off(self, clock):
         self.assertEqual(set(await self.pauses(clock, retry_after=False)), {0})
