Give no slot to calls that became too late in the queue

What callers saw: a queued call that could no longer be in time when a slot became free was run all the same, and held the slot for nothing.

No test looked at calls that become too late while they wait.

Measured result: test_call_that_became_too_late_in_the_queue_gets_no_slot failed before, for both queue orders; it passes, with the tests of admission.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/control.py
@@ -304,7 +304,7 @@
             if error is None:
                 self.checks.check_grant(waiting.call)
             waited_s = now - waiting.arrived_at
-            self.resolve(waiting, self.grant(waiting.call, waited_s, now))
+            self.resolve(waiting, error or self.grant(waiting.call, waited_s, now))
 
     def grant(self, call, waited_s, now):
         self.in_flight += 1
--- a/tests/unit/daemon/test_admission_ranked.py
+++ b/tests/unit/daemon/test_admission_ranked.py
@@ -185,6 +185,27 @@
                 self.assertLessEqual(clock() - queued_at, 0.11)
             control.stop_admitting()
 
+    @in_virtual_time
+    async def test_call_that_became_too_late_in_the_queue_gets_no_slot(self, clock):
+        """Guards against slots for calls that can't be in time any more."""
+        for order in ("depth", "due"):
+            control = make_control(clock, slots=1, queue_order=order)
+            await train(control, clock, 0.1)
+            kinds = []
+            for _ in range(2):
+                running = await control.admit(make_call(clock))
+                late = start_admit(control, make_call(clock, lifetime=0.25))
+                await settle()
+                await asyncio.sleep(0.2)
+                running.finish(OK)
+                outcome = await late
+                if isinstance(outcome, ErrorKind):
+                    kinds.append(outcome)
+                else:
+                    outcome.finish(OK)
+            # One call in a while is run as a probe.
+            self.assertIn(ErrorKind.LIFETIME_TOO_SHORT, kinds)
+
     @in_virtual_time
     async def test_queue_is_bounded_without_deadlines(self, clock):
         """Guards against a queue that grows as no time bounds it."""
