Compute a call's low service time in one place

Cause: slack in Ranked repeated low_time of RankedBySlack, and four places set the time of a call that lacked room before they refused it.

Change: low_time stands in Ranked, and refuse_without_room records and refuses. No behaviour changes, and no test.

--- a/packages/papayabay-core/src/papayabay_core/policy/document.py
+++ b/packages/papayabay-core/src/papayabay_core/policy/document.py
@@ -22,7 +22,7 @@
 
 
 class Decisions(Strict, frozen=True, kw_only=True):
-    """Algorithm used for each decision; the bench compares them.
+    """Algorithm used for each decision.
 
     `kept_share` and `return_times` are deprecated and have no effect.
     """
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked.py
@@ -69,8 +69,7 @@
             if self.queue.size <= self.capacity(worst.call, now):
                 return
             self.control.counters.displaced += worst is not waiting
-            self.refused_at = now
-            self.refuse(worst, now)
+            self.refuse_without_room(worst, now)
 
     def recheck_time(self, call, now):
         """Return when to check whether a call was overtaken."""
@@ -86,8 +85,7 @@
         call that was not overtaken will be served, and stays queued.
         """
         if self.was_overtaken(waiting):
-            self.refused_at = now
-            self.refuse(waiting, now)
+            self.refuse_without_room(waiting, now)
         else:
             waiting.recheck_at = self.recheck_time(waiting.call, now)
 
@@ -120,6 +118,11 @@
         """Return the threshold by which callers' daemons refuse early."""
         return self.threshold.current(now)
 
+    def refuse_without_room(self, waiting, now):
+        """Refuse a call that the queue has no room for."""
+        self.refused_at = now
+        self.refuse(waiting, now)
+
     def refuse(self, waiting, now):
         """Refuse a call for overload, and count it for the threshold."""
         self.control.refuse_overloaded(waiting, now)
@@ -171,8 +174,16 @@
 
     def slack(self, call, now):
         """Return how long a call can wait and still be in time, in seconds."""
+        return call.expires_at - call.rest_s - self.low_time(call) - now
+
+    def low_time(self, call):
+        """Return the low quantile of a call's service time, in seconds.
+
+        The mean of a path with calls of its own rises with their queueing
+        delays, and calls that can be in time would be refused.
+        """
         times = self.control.times.paths.get(call.path_key)
-        return call.expires_at - call.rest_s - (times.low if times else 0.0) - now
+        return times.low if times else 0.0
 
     def has_standing_queue(self, now):
         """Whether the queue outlasted a burst, and calls lacked room in it.
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/admission/ranked_by_slack.py
@@ -73,8 +73,7 @@
             if self.queue.count_ahead(worst) < self.capacity(worst.call, now):
                 return
             self.control.counters.displaced += worst is not waiting
-            self.refused_at = now
-            self.refuse(worst, now)
+            self.refuse_without_room(worst, now)
 
     def pressure(self, now):
         """Return the queueing time above its target, and the slot utilization.
@@ -97,15 +96,6 @@
         due_at = call.expires_at if call.due_at is None else call.due_at
         return due_at - self.low_time(call)
 
-    def low_time(self, call):
-        """Return the low quantile of a call's service time, in seconds.
-
-        The mean of a path with calls of its own rises with their queueing
-        delays, and calls that can be in time would be refused.
-        """
-        times = self.control.times.paths.get(call.path_key)
-        return times.low if times else 0.0
-
     def slack(self, call, now):
         """Return how long a call can wait and still be in time, in seconds.
 
@@ -158,8 +148,7 @@
         call = waiting.call
         overtaken = self.was_overtaken(waiting)
         if not self.is_feasible(waiting, now) or (overtaken and not call.depth):
-            self.refused_at = now
-            self.refuse(waiting, now)
+            self.refuse_without_room(waiting, now)
             return
         if overtaken and call.importance is not Importance.CRITICAL:
             self.threshold.record_refusal(call.importance)
