--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -313,14 +313,15 @@
             address = machine.address("outbound")
             answer = await exchange(address, request, deadline_ms / 1_000)
             status, detail = answer.status, answer.body.decode()
+            if status == 200:
+                detail = f"{len(answer.body)} bytes"
         except (OSError, TimeoutError) as error:
             detail = repr(error)
-        detail = detail if status != 200 else ""
         self.record.write("answered", id=request_id, status=status, detail=detail)
         return request_id, status
 
 
-def configuration(version, routes, services, tenants=()):
+def configuration(version, routes, services, tenants=(), timeout="1500ms"):
     """Return a configuration of the operator.
 
     Parameters
@@ -330,6 +331,8 @@
         Prefix, kind and service.
     services : list of str
     tenants : list of dict
+    timeout : str
+        Of all routes.
     """
     values = {
         "version": f"r{version}",
@@ -339,7 +342,7 @@
                 "host": "shop.example",
                 "prefix": prefix,
                 "kind": kind,
-                "timeout": "1500ms",
+                "timeout": timeout,
                 "targetLatency": "1500ms",
                 "priority": 1,
                 "service": service,
@@ -389,5 +392,3 @@
         return 2
     return 0 if is_kept else 1
 
-
-json_text = json.dumps
--- a/review/standins2/upstream.py
+++ b/review/standins2/upstream.py
@@ -9,6 +9,8 @@
 REQUEST_ID = "X-Papayabay-Request-Id"
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 HEALTH_PATH = "/healthz"
+PIECES = 20
+"""In which a large body is sent."""
 
 
 class Upstream:
@@ -25,6 +27,10 @@
     work_seconds : float
         Time that a request takes.
     heartbeat_seconds : float
+    body : bytes
+        Of each answer.
+    body_seconds : float
+        Time that the upstream takes to send a body, in pieces.
 
     Attributes
     ----------
@@ -43,6 +49,8 @@
         queue=32,
         work_seconds=0.02,
         heartbeat_seconds=1.5,
+        body=b"done",
+        body_seconds=0.0,
     ):
         self.machine = machine
         self.instance = instance
@@ -51,6 +59,8 @@
         self.queue = queue
         self.work_seconds = work_seconds
         self.heartbeat_seconds = heartbeat_seconds
+        self.body = body
+        self.body_seconds = body_seconds
         self.free = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
         self.sequence = 0
@@ -82,14 +92,28 @@
         self.writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
-                writer.write(await self.answer(request))
-                await writer.drain()
+                answer = await self.answer(request)
+                await self.send(writer, request, answer)
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    async def send(self, writer, request, answer):
+        """Send an answer, at the pace of a large body if it has one."""
+        size = len(answer)
+        if self.body_seconds and size > len(self.body):
+            size = -(-len(answer) // PIECES)
+        for start in range(0, len(answer), size):
+            writer.write(answer[start : start + size])
+            await writer.drain()
+            if size < len(answer):
+                await asyncio.sleep(self.body_seconds / PIECES)
+        request_id = request.fields.get(REQUEST_ID.lower(), "")
+        if request_id:
+            self.record.write("answer sent", id=request_id, bytes=len(answer))
+
     async def answer(self, request):
         """Return the answer to one request as bytes."""
         method, path, _ = request.start
@@ -126,7 +150,7 @@
             self.running -= 1
         self.record.write("runs", id=request_id, instance=self.instance)
         fields["X-Papayabay-Upstream-Signature"] = f"{self.instance}.{request_id}"
-        return encode_answer(200, fields, b"done")
+        return encode_answer(200, fields, self.body)
 
     async def send_heartbeats(self):
         """Send a heartbeat each period until cancelled."""
