--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,6 +1,7 @@
-"""A daemon that restarts forgets that it acknowledged its upstream's leaving."""
+"""A daemon that is stopped cuts off the large answers that it is passing on."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -10,87 +11,99 @@
 from standins2.fleet import Fleet, configuration, play  # noqa: E402
 from standins2.upstream import Upstream  # noqa: E402
 
-DRAIN_SECONDS = 2.0
 CONTACT_SECONDS = 3.0
-LATE_SECONDS = 2.0
-"""How late the heartbeat arrives that was sent before the deregistration."""
-SERVES_ON_SECONDS = 9.0
-"""How long the upstream serves after its deregistration."""
-PERIOD_SECONDS = 0.05
-"""Between two requests of the clients on the other machine."""
+GRACE_SECONDS = 6.0
+DEADLINE_MS = 4_000
+BODY = bytes(1_000_000)
+WORK_SECONDS = 0.2
+BODY_SECONDS = 2.5
+PERIOD_SECONDS = 0.1
+READY_SECONDS = 1.0
+"""Between two readiness checks of the platform."""
 
 
 async def run(record, trouble):
     """Play the case; return whether the rule was kept."""
     fleet = Fleet(record)
     try:
-        routes = [("/stock/", "safe", "stock")]
-        places = [("stock", "hall-a"), ("stock", "hall-a")]
-        await fleet.start(configuration(7, routes, ["stock"]), places)
-        leaving, other = fleet.machines
+        routes = [("/stock/", "safe", "stock"), ("/docs/", "download", "docs")]
+        values = configuration(7, routes, ["stock", "docs"], timeout="4s")
+        await fleet.start(values, [("stock", "hall-a"), ("docs", "hall-a")])
+        entry, behind = fleet.machines
+        entry.upstream = Upstream(entry, "i-stock", record)
+        behind.upstream = Upstream(
+            behind,
+            "i-docs",
+            record,
+            slots=36,
+            work_seconds=WORK_SECONDS,
+            body=BODY,
+            body_seconds=BODY_SECONDS,
+        )
         for machine in fleet.machines:
-            machine.upstream = Upstream(machine, f"i-{machine.name}", record)
             await machine.upstream.start()
         await asyncio.sleep(CONTACT_SECONDS + 1.0)
-        clients = asyncio.create_task(send_requests(fleet, other))
-        await asyncio.sleep(2.0)
-        acknowledged_at = await leave(leaving, record, trouble)
-        await asyncio.sleep(SERVES_ON_SECONDS)
-        await leaving.upstream.stop()
+        clients = asyncio.create_task(send_requests(fleet, entry))
+        await asyncio.sleep(4.0)
+        stopped_at = record.now()
+        if trouble:
+            entry.signal(signal.SIGTERM)
+            ended = asyncio.create_task(entry.wait_end())
+            await asyncio.sleep(GRACE_SECONDS)
+            if not ended.done():
+                entry.kill()
+        else:
+            await asyncio.sleep(GRACE_SECONDS)
         clients.cancel()
-        return check(record, leaving, acknowledged_at)
+        await asyncio.sleep(DEADLINE_MS / 1_000)
+        return check(record, stopped_at)
     finally:
         fleet.stop()
 
 
 async def send_requests(fleet, machine):
-    """Send requests to a machine until cancelled."""
+    """Send requests until two readiness checks in a row have failed."""
     tasks = set()
-    while True:
-        task = asyncio.create_task(fleet.send(machine, "/stock/a"))
+    misses = 0
+    checked_at = 0.0
+    while misses < 2:
+        if fleet.record.now() - checked_at >= READY_SECONDS:
+            checked_at = fleet.record.now()
+            is_ready = await machine.is_ready()
+            misses = 0 if is_ready else misses + 1
+            fleet.record.write("ready", machine=machine.name, answer=is_ready)
+        sending = fleet.send(machine, "/docs/a", deadline_ms=DEADLINE_MS)
+        task = asyncio.create_task(sending)
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(PERIOD_SECONDS)
+    await asyncio.gather(*tasks)
 
 
-async def leave(machine, record, trouble):
-    """Let the upstream leave; return when that was acknowledged."""
-    upstream = machine.upstream
-    if trouble:
-        upstream.late_seconds = LATE_SECONDS
-        upstream.send_later(upstream.heartbeat())
-        upstream.late_seconds = 0.0
-        await asyncio.sleep(0.1)
-    if not await upstream.deregister():
-        raise AssertionError("the deregistration was not acknowledged")
-    acknowledged_at = record.now()
-    if trouble:
-        await asyncio.sleep(0.3)
-        machine.kill()
-        machine.start()
-    return acknowledged_at
-
-
-def check(record, leaving, acknowledged_at):
-    """Return whether no request reached the upstream too late."""
-    starts = [at for at, found in record.of("daemon starts")]
-    in_touch_from = max(starts) + CONTACT_SECONDS
-    bound = max(acknowledged_at + DRAIN_SECONDS, in_touch_from)
-    arrivals = [
-        at
-        for at, found in record.of("arrives")
-        if found["instance"] == leaving.upstream.instance
-    ]
-    late = [at for at in arrivals if at > bound]
+def check(record, stopped_at):
+    """Return whether no request was lost that the rule protects."""
+    arrived = {found["id"] for _, found in record.of("arrives")}
+    sent = {found["id"]: at for at, found in record.of("sent")}
+    lost = []
+    for at, found in record.of("answered"):
+        sent_at = sent[found["id"]]
+        if found["status"] or found["id"] not in arrived:
+            continue
+        in_time = at - sent_at < DEADLINE_MS / 1_000
+        # Its upstream would have ended before the last sixth of `grace`.
+        ends_at = sent_at + WORK_SECONDS + BODY_SECONDS + 0.3
+        before_end = ends_at < stopped_at + GRACE_SECONDS * 5 / 6
+        if in_time and before_end and at > stopped_at:
+            lost.append((found["id"], round(sent_at, 3), round(at, 3)))
+            record.write("lost", id=found["id"], after_s=round(at - sent_at, 3))
     record.write(
         "result",
-        acknowledged_at=round(acknowledged_at, 3),
-        in_touch_from=round(in_touch_from, 3),
-        arrivals=len(arrivals),
-        late=len(late),
-        last=round(max(arrivals, default=0.0), 3),
+        stopped_at=round(stopped_at, 3),
+        sent=len(sent),
+        answered_200=sum(f["status"] == 200 for _, f in record.of("answered")),
+        lost=len(lost),
     )
-    return not late
+    return not lost
 
 
 sys.exit(play(run, HERE))
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -20,7 +20,9 @@
 NETWORK = f"127.{20 + os.getpid() // 250 % 200}.{1 + os.getpid() % 250}"
 """Of this run alone: the port of the metrics is the same on all machines."""
 INTERNAL_PORTS = 16
-FIRST_RANGE = 12_000 + os.getpid() % 8 * 512
+FIRST_RANGE = 12_000 + os.getpid() % 140 * 128
+LAST_RANGE = 32_000
+"""Below the ports that the system itself gives out."""
 SETTINGS = """
 [self]
 nodeId = "{name}"
@@ -93,9 +95,7 @@
 recovery = "15s"
 {bounds}
 """
-CONTRACTS = (
-    '["base","drain","config","cost","retry","recover","pressure","platform"]'
-)
+CONTRACTS = '["base","drain","config","cost","retry","recover","pressure","platform"]'
 PORTS = ("app", "outbound", "inbound", "ready", "control")
 
 
@@ -142,7 +142,7 @@
 
         ports = {name: reserve(0) for name in PORTS}
         first = FIRST_RANGE + number * INTERNAL_PORTS
-        for internal in range(first, 60_000, 32 * INTERNAL_PORTS):
+        for internal in range(first, LAST_RANGE, 8 * INTERNAL_PORTS):
             with suppress(OSError):
                 for port in range(internal, internal + INTERNAL_PORTS):
                     reserve(port)
@@ -391,4 +391,3 @@
         print(error)
         return 2
     return 0 if is_kept else 1
-
--- a/review/standins2/upstream.py
+++ b/review/standins2/upstream.py
@@ -175,7 +175,9 @@
         address = self.machine.address("control")
         status = 0
         with suppress(OSError, TimeoutError):
-            status = (await exchange(address, request, HEARTBEAT_TIMEOUT_SECONDS)).status
+            status = (
+                await exchange(address, request, HEARTBEAT_TIMEOUT_SECONDS)
+            ).status
         late = round(late_seconds, 3)
         self.record.write("beat answered", path=path, status=status, late_s=late)
         return 200 <= status < 300
