--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,4 +1,4 @@
-"""A daemon that is stopped cuts off the large answers that it is passing on."""
+"""A stopped daemon cuts off the large answers that it is passing on."""
 
 import asyncio
 import signal
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,4 +1,4 @@
-"""A daemon that restarts forgets that it acknowledged its upstream's leaving."""
+"""A restarted daemon forgets that its upstream is leaving."""
 
 import asyncio
 import sys
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -1,7 +1,6 @@
 """Machines with a daemon process each, their clients, and the record."""
 
 import asyncio
-import json
 import os
 import signal
 import socket
@@ -296,7 +295,7 @@
         self.stack.close()
 
     async def send(self, machine, path, method="GET", key="", deadline_ms=5_000):
-        """Send a client's request and return id and status; 0 for no answer."""
+        """Send a client's request; return id and status, 0 for no answer."""
         self.last_id += 1
         request_id = f"{self.last_id:016x}"
         fields = {
--- a/review/standins2/upstream.py
+++ b/review/standins2/upstream.py
@@ -198,7 +198,7 @@
         return f"/Instances.Heartbeat/{self.instance}", values
 
     async def deregister(self):
-        """Say that it leaves, and go on to serve; return whether acknowledged."""
+        """Say that it leaves and serve on; return whether acknowledged."""
         self.is_leaving = True
         self.beating.cancel()
         return await self.deliver(f"/Instances.Deregister/{self.instance}", {}, 0.0)
