--- a/review/7/run.py
+++ b/review/7/run.py
@@ -16,7 +16,9 @@
 """How late the heartbeat arrives that was sent before the deregistration."""
 SERVES_ON_SECONDS = 9.0
 """How long the upstream serves after its deregistration."""
-PERIOD_SECONDS = 0.05
+SLOTS = 8
+WORK_SECONDS = 0.1
+PERIOD_SECONDS = 0.015
 """Between two requests of the clients on the other machine."""
 
 
@@ -29,7 +31,13 @@
         await fleet.start(configuration(7, routes, ["stock"]), places)
         leaving, other = fleet.machines
         for machine in fleet.machines:
-            machine.upstream = Upstream(machine, f"i-{machine.name}", record)
+            machine.upstream = Upstream(
+                machine,
+                f"i-{machine.name}",
+                record,
+                slots=SLOTS,
+                work_seconds=WORK_SECONDS,
+            )
             await machine.upstream.start()
         await asyncio.sleep(CONTACT_SECONDS + 1.0)
         clients = asyncio.create_task(send_requests(fleet, other))
