--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -82,7 +82,7 @@
 contact = "3000ms"
 ack = "4000ms"
 catchUp = "4s"
-drain = "2000ms"
+drain = "{drain}"
 grace = "6s"
 lossSlack = "200ms"
 config = "2000ms"
@@ -191,6 +191,7 @@
                 last=self.ports["internal"] + INTERNAL_PORTS - 1,
                 contracts=self.fleet.contracts,
                 bounds=self.fleet.bounds,
+                drain=self.fleet.drain,
                 **self.ports,
             )
         )
@@ -252,14 +253,15 @@
     Parameters
     ----------
     record : Record
-    contracts, bounds : str
+    contracts, bounds, drain : str
         Of the settings; bounds are added to those of a small deployment.
     """
 
-    def __init__(self, record, contracts=CONTRACTS, bounds=""):
+    def __init__(self, record, contracts=CONTRACTS, bounds="", drain="2000ms"):
         self.record = record
         self.contracts = contracts
         self.bounds = bounds
+        self.drain = drain
         self.stack = ExitStack()
         self.folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.store = Store()
--- a/review/standins2/upstream.py
+++ b/review/standins2/upstream.py
@@ -31,6 +31,8 @@
         Of each answer.
     body_seconds : float
         Time that the upstream takes to send a body, in pieces.
+    born_ms : int or None
+        Its start, stated in all messages; None where upstreams state none.
 
     Attributes
     ----------
@@ -51,6 +53,7 @@
         heartbeat_seconds=1.5,
         body=b"done",
         body_seconds=0.0,
+        born_ms=None,
     ):
         self.machine = machine
         self.instance = instance
@@ -61,6 +64,7 @@
         self.heartbeat_seconds = heartbeat_seconds
         self.body = body
         self.body_seconds = body_seconds
+        self.born = {} if born_ms is None else {"born": born_ms}
         self.free = asyncio.Semaphore(slots)
         self.running = self.waiting = 0
         self.sequence = 0
@@ -195,10 +199,11 @@
         state = "draining" if self.is_leaving else "ready"
         status = {"state": state, "seqNo": self.sequence, "warmupLeft": "0ms"}
         values = {"address": f"{host}:{port}", "info": info, "status": status}
-        return f"/Instances.Heartbeat/{self.instance}", values
+        return f"/Instances.Heartbeat/{self.instance}", values | self.born
 
     async def deregister(self):
         """Say that it leaves and serve on; return whether acknowledged."""
         self.is_leaving = True
         self.beating.cancel()
-        return await self.deliver(f"/Instances.Deregister/{self.instance}", {}, 0.0)
+        path = f"/Instances.Deregister/{self.instance}"
+        return await self.deliver(path, self.born, 0.0)
