--- a/review/7/run.py
+++ b/review/7/run.py
@@ -7,7 +7,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins2.fleet import Fleet, configuration, play  # noqa: E402
+from standins2.fleet import CannotRun, Fleet, configuration, play  # noqa: E402
 from standins2.upstream import Upstream  # noqa: E402
 
 DRAIN_SECONDS = 2.0
@@ -70,7 +70,7 @@
         upstream.late_seconds = 0.0
         await asyncio.sleep(0.1)
     if not await upstream.deregister():
-        raise AssertionError("the deregistration was not acknowledged")
+        raise CannotRun("the deregistration was not acknowledged")
     acknowledged_at = record.now()
     if trouble:
         await asyncio.sleep(0.3)
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -7,6 +7,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 from contextlib import ExitStack, suppress
 from pathlib import Path
 
@@ -388,7 +389,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         is_kept = asyncio.run(run(record, trouble))
-    except CannotRun as error:
-        print(error)
+    except Exception:
+        # An error of the script must not look like a broken rule.
+        traceback.print_exc()
         return 2
     return 0 if is_kept else 1
