--- a/review/4/run.py
+++ b/review/4/run.py
@@ -12,7 +12,7 @@
 from standins2.upstream import Upstream  # noqa: E402
 
 CONTACT_SECONDS = 3.0
-CONFIG_SECONDS = 2.0
+CONFIG_SECONDS = 2.5
 REVOKE_SECONDS = 5.0
 JUDGED_SECONDS = 8.0
 PERIOD_SECONDS = 0.1
