Verify a target's process before it is put in force

Cause: announcements were ordered by what the registry itself remembered, which is nothing after a restart; and of two processes that claim the address, the one never heard of won, while the other was recorded as ended.

Where announcements don't decide, the daemon asks the address. PROTOCOL.md: the health path "returns 200 while the upstream considers itself healthy and is not leaving, with the upstream's ID". What is not confirmed is held; a process whose announcements go on is served in the end, and only proof bars its predecessor. A number that another writer used under the upstream's name no longer loses it. A deregistration also ends a process known from a health answer or under an earlier start; before, it had no effect there. Counters and a log line for each decision. It needs neither the store nor peers.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/status/counters.py
@@ -34,7 +34,7 @@
         "doors": partial(door_counters, daemon),
         "quarantine": partial(quarantine_counters, daemon),
         "accounts": partial(account_counters, daemon),
-        "target": partial(target_counters, daemon.target),
+        "target": partial(target_counters, daemon),
         "cancel_notices": partial(dict, daemon.target.notices.counters),
         "configuration": partial(dict, daemon.configuration.counts),
         "members": partial(member_counters, daemon.membership),
@@ -49,9 +49,14 @@
     return {**admission.counters.plain(), "slow_spells": slow_spells}
 
 
-def target_counters(target):
-    """Return the counters of crashes and of answers to other requests."""
-    return {**target.crash_detector.counters, **target.counters}
+def target_counters(daemon):
+    """Return the counters of the target's calls, crashes and processes."""
+    target = daemon.target
+    return {
+        **target.crash_detector.counters,
+        **target.counters,
+        **daemon.registry.counters,
+    }
 
 
 def key_counters(gate):
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/dialect.py
@@ -12,6 +12,7 @@
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.doors import headers as rules
 from papayabay_daemon._internal.target.announcement import Announcement
+from papayabay_daemon._internal.target.health import ProcessHealth
 
 ACCOUNT_FIELD = "Papayabay-Account"
 CALL_FIELD = b"papayabay-call"
@@ -100,9 +101,13 @@
     ----------
     names : HeaderNames
         Determines the fields of an answer that are not forwarded.
+    identifies_processes : bool
+        Whether health answers name the process that gives them. A process is
+        then verified before it is put in force.
     """
 
     names: rules.HeaderNames
+    identifies_processes: bool
 
     def request_head(
         self, call: Call, call_token: str, announcement: Announcement
@@ -137,11 +142,15 @@
         None if the target is not healthy, or if the answer lacks details.
         """
 
+    def process_health(self, status: int, fields: RawFields) -> ProcessHealth | None:
+        """Return what the answering process states; None if it has no name."""
+
 
 class DefaultTargetDialect:
     """The `TargetDialect` with papayabay's own header fields."""
 
     names = rules.DEFAULT_NAMES
+    identifies_processes = False
 
     def request_head(self, call, call_token, announcement):
         """Return a call's request line and header fields as bytes."""
@@ -180,6 +189,10 @@
         """Return None: these targets always announce themselves."""
         return None
 
+    def process_health(self, status, fields):
+        """Return None: health answers of these targets name no process."""
+        return None
+
 
 def call_fields(call, call_token):
     """Return the header lines that describe a call to the target."""
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -7,6 +7,7 @@
 import logbook
 
 from papayabay_core.utils.clock import now
+from papayabay_daemon._internal.target.candidates import Candidates
 
 log = logbook.Logger("papayabay.target")
 
@@ -20,9 +21,24 @@
 late announcements."""
 
 
+COUNTERS = (
+    "held_announcements",
+    "verified_processes",
+    "rejected_processes",
+    "unverified_processes",
+)
+
+
 class TargetRegistry:
     """Holds the target's announcement until its lease expires.
 
+    Announcements of one process are ordered by their numbers, and none of it
+    counts after it has left. Between processes, nothing that they announce
+    decides, as it may be late or of another writer: a process that takes the
+    place of another, or that may have left before this daemon started, is put
+    in force once a health answer shows that it runs at the address. The
+    section "Which process a target is" of docs/DESIGN.md has the rule.
+
     Parameters
     ----------
     clock : callable
@@ -42,6 +58,19 @@
     was_absent : bool
         Whether nothing listened at the target's address when it was checked,
         before the first announcement.
+    verifies : bool
+        Whether processes are verified; set by `TargetVerifier`.
+    candidates : Candidates
+        Processes that are not verified yet.
+    doubted : asyncio.Event
+        Set when there is a candidate to verify.
+    is_proven : bool
+        Whether the process in force was verified or needed no verification.
+    counters : dict of str to int
+        ``held_announcements``: those held for a verification;
+        ``verified_processes``, ``rejected_processes``,
+        ``unverified_processes``: outcomes, the last one of processes that
+        were put in force without an answer.
     """
 
     def __init__(self, clock=now):
@@ -54,6 +83,11 @@
         self.changed = asyncio.Event()
         self.first_incarnation = None
         self.was_absent = False
+        self.verifies = False
+        self.candidates = Candidates()
+        self.doubted = asyncio.Event()
+        self.is_proven = True
+        self.counters = dict.fromkeys(COUNTERS, 0)
 
     @property
     def current(self):
@@ -68,9 +102,8 @@
         Returns
         -------
         bool
-            False for an outdated announcement, which is ignored: a later one
-            of the same process was received, or the process was marked as
-            draining or replaced.
+            False for an announcement that is outdated and ignored, or held
+            until its process is verified.
         """
         if self.is_outdated(announcement):
             log.info(
@@ -79,14 +112,35 @@
                 announcement.incarnation,
             )
             return False
+        if self.is_doubtful(announcement):
+            if self.candidates.hold(announcement, self.clock()):
+                self.counters["held_announcements"] += 1
+                self.doubted.set()
+            return False
+        self.put_in_force(announcement)
+        return True
+
+    def put_in_force(self, announcement, is_proven=True):
+        """Put an announcement in force that is not outdated.
+
+        Parameters
+        ----------
+        announcement : Announcement
+        is_proven : bool
+            Whether its process is known to run at the address.
+        """
         moment = self.clock()
         previous = self.current
+        if announcement.sequence:
+            self.record_sequence(announcement.process, announcement.sequence)
+        self.candidates.discard(announcement.process)
         if previous is not None and previous.completed_by(announcement):
             previous.born_ms = announcement.born_ms
         if previous is not None and previous.process != announcement.process:
-            # An address has one process at a time, so the previous one has
-            # ended. Its announcements may still arrive late.
-            self.record_sequence(previous.process, ENDED)
+            self.end_previous(previous, announcement, is_proven)
+            self.is_proven = is_proven
+        elif previous is None:
+            self.is_proven = is_proven
         known = previous is not None and previous.same_process(announcement)
         if self.first_incarnation is None and not self.was_absent:
             self.first_incarnation = announcement.incarnation
@@ -98,7 +152,7 @@
         changed = previous is None or not previous.equals_except_sequence(announcement)
         self.announcement = announcement
         if not changed:
-            return True
+            return
         if known and announcement.draining and not previous.draining:
             log.notice(
                 "target of {} is draining; sending it no new calls",
@@ -106,13 +160,93 @@
             )
         if not known:
             log.notice(
-                "target of {} announced at {}:{}",
+                "target {} of {} announced at {}:{}",
+                announcement.incarnation,
                 announcement.service,
                 announcement.host,
                 announcement.port,
             )
         self.notify()
-        return True
+
+    def end_previous(self, previous, announcement, is_proven):
+        """Record that a process has ended, as another one took its address.
+
+        Its announcements may still arrive late. Where its end is not proven,
+        they are not outdated for good: it may be the one that runs. A health
+        answer doesn't tell processes of one name apart, but their start times
+        do while the later one is in force.
+        """
+        is_restart = previous.incarnation == announcement.incarnation
+        if self.verifies and (not is_proven or (is_restart and previous.born_ms)):
+            return
+        self.record_sequence(previous.process, ENDED)
+
+    def is_doubtful(self, announcement):
+        """Whether a process has to be verified before it is put in force.
+
+        A daemon that has just started doesn't know whether the process has
+        left before, unless nothing listened at the address at its start.
+        """
+        if not (self.verifies and announcement.sequence):
+            return False
+        current = self.current
+        if current is not None:
+            is_known = current.process == announcement.process
+            return not (is_known or current.completed_by(announcement))
+        if announcement.draining:
+            return False
+        return bool(self.sequences) or not self.was_absent
+
+    def apply_health(self, candidates, found):
+        """Decide on candidates by who answered at their address.
+
+        Parameters
+        ----------
+        candidates : list of Candidate
+            Those that were held when the health request was sent.
+        found : ProcessHealth or None
+            None if no process answered with its name.
+        """
+        for candidate in filter(self.candidates.holds, candidates):
+            candidate.is_due = False
+            self.decide(candidate, found)
+        current = self.current
+        if found is None or current is None:
+            return
+        if current.incarnation != found.incarnation:
+            self.mark_replaced(current)
+
+    def decide(self, candidate, found):
+        """Put a candidate in force, reject it, or go on to hold it."""
+        announcement = candidate.announcement
+        if found is None or found.is_accepting is None:
+            if candidate.persists:
+                self.accept(announcement, "unverified_processes")
+            return
+        if found.incarnation != announcement.incarnation:
+            self.candidates.discard(announcement.process)
+            self.counters["rejected_processes"] += 1
+            log.notice(
+                "announcement {} of {} ignored: {} answers at its address",
+                announcement.sequence,
+                announcement.incarnation,
+                found.incarnation,
+            )
+        elif found.is_accepting or announcement.draining:
+            self.accept(announcement, "verified_processes")
+        elif candidate.outlasts_lease:
+            self.accept(announcement, "unverified_processes")
+        else:
+            log.notice(
+                "announcement {} of {} held: its health answer is negative",
+                announcement.sequence,
+                announcement.incarnation,
+            )
+
+    def accept(self, announcement, outcome):
+        """Put a candidate in force, and count the outcome."""
+        self.counters[outcome] += 1
+        self.put_in_force(announcement, outcome == "verified_processes")
 
     def record_absent(self):
         """Record that nothing listens at the target's address yet.
@@ -160,7 +294,7 @@
         return self.announcement
 
     def is_outdated(self, announcement):
-        """Return whether an announcement is outdated; else record its number.
+        """Return whether an announcement is late, or of another writer.
 
         An announcement may be delayed for longer than its process lives. If it
         were accepted, it would end the draining of a target, or displace the
@@ -168,13 +302,15 @@
         """
         if not announcement.sequence:
             return False
-        if self.has_newer_process(announcement):
+        if self.has_newer_process(announcement) or self.lacks_start(announcement):
             return True
         newest = self.sequences.get(announcement.process, 0)
-        if announcement.sequence <= newest:
+        if newest == ENDED:
             return True
-        self.record_sequence(announcement.process, announcement.sequence)
-        return False
+        # While none is in force, a lower number may be that of the process
+        # itself, after another writer has used a higher one under its name.
+        is_open = self.verifies and self.current is None
+        return announcement.sequence <= newest and not is_open
 
     def has_newer_process(self, announcement):
         """Whether the process in force states a later start time.
@@ -184,10 +320,27 @@
         times show which process is the older one.
         """
         current = self.current
-        if current is None or not announcement.born_ms:
+        if current is None or not announcement.born_ms or not self.is_proven:
             return False
         return announcement.born_ms < current.born_ms
 
+    def lacks_start(self, announcement):
+        """Whether another writer uses the name of the process in force.
+
+        A process that states its start time does so in all announcements.
+        """
+        current = self.current
+        if current is None or not current.born_ms or announcement.born_ms:
+            return False
+        return announcement.incarnation == current.incarnation
+
+    def has_left(self, incarnation):
+        """Whether a process of this name is known to have left."""
+        return any(
+            name == incarnation and newest == ENDED
+            for (name, _), newest in self.sequences.items()
+        )
+
     def record_sequence(self, process, sequence):
         """Record a process's highest number; evicts the oldest records."""
         self.sequences[process] = sequence
@@ -207,17 +360,21 @@
             As announced; 0 stands for the process of that name in force.
         """
         current = self.current
-        is_current = current is not None and current.incarnation == incarnation
-        if is_current and not born_ms:
+        is_named = current is not None and current.incarnation == incarnation
+        if is_named and not born_ms:
             born_ms = current.born_ms
         self.record_sequence((incarnation, born_ms), ENDED)
-        if not is_current or current.born_ms != born_ms:
+        for process in self.candidates.named(incarnation, born_ms):
+            self.candidates.discard(process)
+            self.record_sequence(process, ENDED)
+        # A process that started later under the name has replaced this one.
+        if not is_named or born_ms < current.born_ms:
             return
         if not current.draining:
             log.notice(
                 "target of {} is leaving; sending it no new calls", current.service
             )
-            self.announcement = replace(current, draining=True)
+            self.announcement = replace(current, born_ms=born_ms, draining=True)
             self.notify()
 
     def withdraw(self, reason):
--- a/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/adapters.py
@@ -35,6 +35,7 @@
     retry_after_ms,
     target_report,
 )
+from papayabay_daemon._internal.target.health import ProcessHealth
 
 __all__ = [
     "AUTHORIZATION_HEADER",
@@ -47,6 +48,7 @@
     "HeaderNames",
     "HttpDate",
     "IncomingRequest",
+    "ProcessHealth",
     "ServerConnection",
     "TargetDialect",
     "Verdict",
--- a/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/daemon.py
@@ -51,7 +51,12 @@
 from papayabay_daemon._internal.status.counters import counter_sources
 from papayabay_daemon._internal.status.routes import StatusRoutes
 from papayabay_daemon._internal.supervisor import Child, Supervisor
-from papayabay_daemon._internal.target import HttpTargetClient, TargetRegistry
+from papayabay_daemon._internal.target import (
+    HttpTargetClient,
+    TargetHealth,
+    TargetRegistry,
+    TargetVerifier,
+)
 from papayabay_daemon._internal.target.discovery import TargetDiscovery
 from papayabay_daemon.environment import default_environment
 
@@ -128,6 +133,9 @@
         self.target_discovery = TargetDiscovery(
             self.settings, self.policy, self.registry, dialect, self.target_reported
         )
+        self.target_verifier = TargetVerifier(
+            self.registry, TargetHealth(self.policy), dialect
+        )
         self.target.report_listeners.append(self.target_reported)
         self.configuration.on_change(self.policy_changed)
         self.links.on_leaving(self.membership.mark_leaving)
@@ -283,6 +291,7 @@
             Child("control", self.control_supervisor.run),
             Child("target lease", self.registry.watch),
             Child("target asking", self.target_discovery.run),
+            Child("target verification", self.target_verifier.run),
             Child("metrics", self.metrics.run),
             Child("pause watch", self.pause_detector.run),
             Child("quarantine", self.quarantine_propagation.run),
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -3,12 +3,16 @@
 import asyncio
 import signal
 
+import aiohttp
+
 from tests.functional.platform_support import (
     BOUND_SECONDS,
     CONFIGURATION,
     PlatformTestCase,
 )
 
+LATE_REQUESTS = 20
+
 
 class PlatformTest(PlatformTestCase):
     async def test_a_request_is_forwarded_by_two_daemons_unchanged(self):
@@ -115,6 +119,32 @@
         self.vms[1].start()
         await self.wait_until(self.serves)
 
+    async def test_a_late_heartbeat_does_not_revive_an_upstream_that_left(self):
+        """Guards against requests to an upstream that left before a restart.
+
+        Its daemon is killed after it has acknowledged the deregistration. A
+        heartbeat from before it arrives at the restarted daemon.
+        """
+        vm = self.vms[1]
+        late = vm.upstream.heartbeat()
+        self.assertEqual(await vm.upstream.deregister(self.session), 200)
+        vm.kill()
+        vm.start()
+
+        async def is_ready():
+            try:
+                return await self.ready(1) == 200
+            except aiohttp.ClientError:
+                return False
+
+        await self.wait_until(is_ready)
+        served = len(vm.upstream.executed)
+        self.assertEqual(await vm.upstream.send_heartbeat(self.session, late), 200)
+        for _ in range(LATE_REQUESTS):
+            self.assertEqual((await self.send("/read/1"))[0], 503)
+            await asyncio.sleep(0.05)
+        self.assertEqual(len(vm.upstream.executed), served)
+
     async def test_a_rejected_request_is_reported_as_not_run(self):
         upstream = self.vms[1].upstream
         upstream.executed.clear()
--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -36,6 +36,7 @@
         self.port = port
         self.control = f"http://{host}:{control_port}"
         self.instance = instance
+        self.slots = 4
         self.state = "ready"
         self.sequence = 0
         self.executed = []
@@ -109,7 +110,7 @@
             status=200 if self.state == "ready" else 503,
             headers={
                 "X-Papayabay-Upstream-Instance": self.instance,
-                "X-Papayabay-Upstream-Load": "0,0,4",
+                "X-Papayabay-Upstream-Load": f"0,0,{self.slots}",
             },
         )
 
@@ -120,18 +121,35 @@
                 await self.send_heartbeat(session)
                 await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
-    async def send_heartbeat(self, session):
-        """Send one heartbeat; return the status, None without an answer."""
+    def heartbeat(self):
+        """Return the next heartbeat."""
         self.sequence += 1
-        heartbeat = {
+        return {
             "address": f"{self.host}:{self.port}",
-            "info": {"service": self.service, "zone": "a", "slots": 4, "version": "v1"},
+            "info": {
+                "service": self.service,
+                "zone": "a",
+                "slots": self.slots,
+                "version": "v1",
+            },
             "status": {
                 "state": self.state,
                 "seqNo": self.sequence,
                 "warmupLeft": "0ms",
             },
         }
+
+    async def deregister(self, session):
+        """Deregister and go on to serve; return the status."""
+        self.state = "leaving"
+        self.may_send_heartbeats.clear()
+        url = f"{self.control}/Instances.Deregister/{self.instance}"
+        async with session.post(url) as response:
+            return response.status
+
+    async def send_heartbeat(self, session, heartbeat=None):
+        """Send one heartbeat; return the status, None without an answer."""
+        heartbeat = heartbeat or self.heartbeat()
         url = f"{self.control}/Instances.Heartbeat/{self.instance}"
         sent_state = self.state
         try:
--- a/tests/unit/daemon/test_counter_sources.py
+++ b/tests/unit/daemon/test_counter_sources.py
@@ -29,6 +29,7 @@
         daemon.idempotency_gate.key_table.counters["full"] += 2
         daemon.caller_door.counters["refused"] += 3
         daemon.target.counters["stray_answers"] += 1
+        daemon.registry.counters["rejected_processes"] += 10
         daemon.target.notices.counters["dropped"] += 4
         daemon.configuration.counts["pulls"] += 5
         daemon.membership.refutations += 6
@@ -40,6 +41,7 @@
             "idempotency.full": 2,
             "doors.caller.refused": 3,
             "target.stray_answers": 1,
+            "target.rejected_processes": 10,
             "cancel_notices.dropped": 4,
             "configuration.pulls": 5,
             "members.refutations": 6,
