Refuse heartbeats that lack a field

Cause: a missing field was read as its default, so that a message of another writer passed as one of another process at the same address. The registry ignores one without a start since the last commit; the door acknowledged it.

A cold start of any length is limited to an hour.

--- a/tests/unit/platform/test_heartbeat_door.py
+++ b/tests/unit/platform/test_heartbeat_door.py
@@ -108,6 +108,30 @@
                 self.assertEqual(await self.send_heartbeat("i-1", born=born), 400)
         self.assertIsNone(self.registry.current)
 
+    async def test_heartbeat_without_a_required_field_is_refused(self):
+        """Guards against an upstream displaced by another writer's message."""
+        await self.send_heartbeat("i-1", born=1_000)
+        before = self.registry.current
+        for field in ("service", "version", "zone", "slots"):
+            with self.subTest(field):
+                info = dict(heartbeat()["info"])
+                del info[field]
+                status = await self.send_heartbeat("i-1", 9, born=1_000, info=info)
+                self.assertEqual(status, 400)
+        await self.send_heartbeat("i-1", 9)
+        self.assertIs(self.registry.current, before)
+        await self.send_heartbeat("i-1", 2, "draining", born=1_000)
+        self.assertTrue(self.registry.current.draining)
+
+    async def test_durations_out_of_range_are_limited_or_refused(self):
+        """Guards against an unhandled error at a duration of any length."""
+        for warmup, status in (("9" * 5_000 + "s", 400), ("9" * 300 + "s", 200)):
+            with self.subTest(len(warmup)):
+                values = heartbeat()["status"] | {"warmupLeft": warmup}
+                found = await self.send_heartbeat("i-1", status=values)
+                self.assertEqual(found, status)
+        self.assertEqual(self.registry.current.cold_start_ms, 3_600_000)
+
     async def test_invalid_messages_change_nothing(self):
         await self.send_heartbeat("i-1", 1)
         before = self.registry.current
