Fail an answer whose status is none at once

Callers saw: a request whose upstream answered with the status 000 to 099 waited until its deadline and got 504; its slot was held as long. A status above 599 was handed on.

Cause: every status below 200 was taken for an interim answer, and the parser takes any three digits.

Change: a status outside 100 to 599 (RFC 9110, section 15) is no answer; the connection is closed and the attempt fails as target-lost. All connections to servers share this code: the target, health answers and the store.

--- a/packages/papayabay-core/src/papayabay_core/http/client.py
+++ b/packages/papayabay-core/src/papayabay_core/http/client.py
@@ -8,6 +8,8 @@
 from papayabay_core.http.heads import MAX_HEADER_FIELDS, Head, HeaderCollector
 from papayabay_core.http.payload import Payload, PayloadBroken
 
+STATUSES = range(100, 600)
+"""Statuses that an answer may have (RFC 9110, section 15)."""
 FIRST_FINAL_STATUS = 200
 """Lower statuses are interim answers (1xx)."""
 MAX_UNREAD_ANSWERS = 4
@@ -183,10 +185,12 @@
         Raises
         ------
         ValueError
-            When the answer has more than `MAX_HEADER_FIELDS`, or
-            `MAX_UNREAD_ANSWERS` wait for a reader.
+            When the answer has more than `MAX_HEADER_FIELDS`, or a status that
+            is none, or when `MAX_UNREAD_ANSWERS` wait for a reader.
         """
         status = self.parser.get_status_code()
+        if status not in STATUSES:
+            raise ValueError(f"{status} is no status of an answer")
         fields = self.end_head()
         if len(fields) > MAX_HEADER_FIELDS:
             raise ValueError("too many header fields")
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -12,6 +12,8 @@
 )
 
 LATE_REQUESTS = 20
+DEADLINE_S = 5.0
+"""Of the requests of `PlatformTestCase.send`."""
 
 
 class PlatformTest(PlatformTestCase):
@@ -170,6 +172,22 @@
                 self.assertIn(status, {0, 502, 504})
                 self.assertEqual(len(upstream.executed), 1)
 
+    async def test_answer_without_a_status_fails_the_request_at_once(self):
+        """Guards against a request that waits for its whole deadline.
+
+        Both ways lead to the upstream: through its own daemon and by a link.
+        """
+        upstream = self.vms[1].upstream
+        for vm in range(2):
+            with self.subTest(vm=vm):
+                upstream.faults = ["no status"]
+                started = asyncio.get_running_loop().time()
+                status, fields, _ = await self.send("/write/order", vm)
+                took = asyncio.get_running_loop().time() - started
+                self.assertEqual(status, 502)
+                self.assertNotIn("X-Papayabay-Upstream-Signature", fields)
+                self.assertLess(took, DEADLINE_S / 2)
+
     async def test_an_extra_answer_is_not_used_for_another_request(self):
         upstream = self.vms[1].upstream
         upstream.faults = ["extra"]
--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 HEARTBEAT_PERIOD_S = 0.1
+HOLD_S = 30.0
 
 
 class Upstream:
@@ -24,8 +25,10 @@
     faults : list of str
         Faults of the next requests, one each: ``reject`` refuses it before it
         runs; the others run it and then ``drop`` the connection, answer with
-        bytes that are no HTTP (``garble``), ``truncate`` the body, or send an
-        ``extra`` answer.
+        bytes that are no HTTP (``garble``), ``truncate`` the body, send an
+        ``extra`` answer, or answer with the status 000 (``no status``).
+    work_seconds : callable
+        Returns how long the next request runs.
     extra_fields : dict of str to str
         Header fields of all answers, also of refusals and health answers.
     """
@@ -42,6 +45,7 @@
         self.executed = []
         self.faults = []
         self.extra_fields = {}
+        self.work_seconds = lambda: 0.0
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.drain_acknowledged = asyncio.Event()
@@ -75,6 +79,7 @@
             refusal = echoed | {"X-Papayabay-Not-Run": "full"}
             return web.Response(status=503, headers=refusal)
         self.executed.append((request.path_qs, fields))
+        await asyncio.sleep(self.work_seconds())
         await self.may_answer.wait()
         text = f"{self.instance} ran {request.path_qs}"
         headers = echoed | {"X-Papayabay-Upstream-Signature": f"signed-{self.instance}"}
@@ -94,11 +99,13 @@
                 "garble": b"\x16\x03\x01 this is no answer\r\n\r\n",
                 "truncate": complete[:-3],
                 "extra": complete + complete,
+                "no status": complete.replace(b"200 OK", b"000 OK"),
             }[fault]
         )
         # Lets the bytes arrive before the connection is closed; a reset could
-        # discard them, which is another fault.
-        await asyncio.sleep(0.05)
+        # discard them, which is another fault. After an answer without a
+        # status, the connection stays open, as its end would end the wait.
+        await asyncio.sleep(HOLD_S if fault == "no status" else 0.05)
         transport.close()
         return web.Response()
 
--- a/tests/unit/core/test_http_client.py
+++ b/tests/unit/core/test_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import itertools
 import unittest
 from unittest import mock
 
@@ -68,6 +69,25 @@
                 with self.assertRaises(ConnectionError):
                     await answer
 
+    async def test_status_out_of_range_fails_the_wait_at_once(self):
+        """Guards against an answer with no HTTP status, or a wait for one."""
+        framings = (
+            b"Content-Length: 2\r\n\r\nok",
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            b"\r\nok",
+            b"Content-Length: 0\r\n\r\n",
+        )
+        statuses = (b"000", b"001", b"099", b"600", b"999")
+        for status, framing in itertools.product(statuses, framings):
+            with self.subTest(status=status, framing=framing):
+                await self.asyncSetUp()
+                answer = self.connection.receive()
+                head = b"HTTP/1.1 " + status + b" OK\r\n"
+                self.connection.data_received(head + framing)
+                self.assertTrue(answer.done())
+                self.assertIsInstance(answer.exception(), ConnectionError)
+                self.assertFalse(self.connection.reusable)
+
     async def test_answers_that_nobody_waits_for_are_limited(self):
         """Guards against a faulty target that sends answers without end."""
         for name, parts in (
