Pass over rows with numbers and addresses out of range

Callers would see daemons that end again and again (report of other operators). A number of 400 digits in a seed row or a quarantine row raised OverflowError in the task that read it; five times in a minute ends the daemon. A seed with a host name too long, or with a zero byte, raised other errors when it was contacted.

Cause: such a number is valid JSON and can't be converted to a float, which is an ArithmeticError, not a ValueError, so that the checks let it through. Numbers of more than 4,300 digits are refused by the parser.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/seeds.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/membership/seeds.py
@@ -1,6 +1,7 @@
 """Seed rows in the table, which name members that a new daemon can join."""
 
 import hashlib
+import ipaddress
 import time
 from dataclasses import dataclass
 
@@ -23,6 +24,7 @@
 """Age up to which the seeds of a row may be just starting: longer than a
 process takes to start, and shorter than a caller waits for its answer."""
 ROWS_MAX = 200
+MAX_NAME_LENGTH = 200
 WRITE_ATTEMPTS = 3
 log = logbook.Logger("papayabay.membership")
 
@@ -67,18 +69,37 @@
 
 
 def is_seed(entry):
-    """Return whether an entry of a row is a well-formed seed."""
+    """Return whether an entry of a row is a well-formed seed.
+
+    Its host is an IP address, as that of every member. Resolving a name would
+    delay the daemon, and may fail in other ways than a connection.
+    """
     if not isinstance(entry, list) or len(entry) != 4:
         return False
-    return all(isinstance(text, str) and text for text in entry[:2]) and all(
-        isinstance(port, int) and 0 < port < 65_536 for port in entry[2:]
+    name, host, *ports = entry
+    return (
+        all(isinstance(text, str) and text for text in (name, host))
+        and len(name) <= MAX_NAME_LENGTH
+        and is_ip_address(host)
+        and all(type(port) is int and 0 < port < 65_536 for port in ports)
     )
 
 
+def is_ip_address(text):
+    """Return whether a text is an IP address without a zone."""
+    try:
+        return str(ipaddress.ip_address(text)).partition("%")[0] == text
+    except ValueError:
+        return False
+
+
 def row_age(value):
     """Return the seconds of wall time since a row was written."""
     written = value.get("written_at")
-    return time.time() - (written if isinstance(written, int | float) else 0)
+    try:
+        return time.time() - float(written if isinstance(written, int | float) else 0)
+    except OverflowError:
+        return time.time()
 
 
 class SeedRows:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/rows.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/quarantine/rows.py
@@ -108,7 +108,7 @@
         try:
             fingerprint = bytes.fromhex(row.key.removeprefix(PREFIX))
             entry = self.parse(row.value)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             log.warning(
                 "quarantine row {} is malformed: {!r}; skipping it", row.key, error
             )
