--- a/tests/lib/platform_upstream.py
+++ b/tests/lib/platform_upstream.py
@@ -7,6 +7,16 @@
 
 HEARTBEAT_PERIOD_S = 0.1
 HOLD_S = 30.0
+MAX_BUFFERED = 1_000_000
+PART = b"x" * 65_536
+ENDLESS = {
+    "endless head": (b"HTTP/1.1 200 OK\r\nFIELDSX-Part: ", PART),
+    "endless body": (
+        b"HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + PART + b"\r\n",
+    ),
+}
+"""The beginning of an answer, and bytes that never end it."""
 
 
 class Upstream:
@@ -26,7 +36,8 @@
         Faults of the next requests, one each: ``reject`` refuses it before it
         runs; the others run it and then ``drop`` the connection, answer with
         bytes that are no HTTP (``garble``), ``truncate`` the body, send an
-        ``extra`` answer, or answer with the status 000 (``no status``).
+        ``extra`` answer, answer with the status 000 (``no status``), or send
+        an ``endless head`` or an ``endless body`` until the caller closes.
     work_seconds : callable
         Returns how long the next request runs.
     extra_fields : dict of str to str
@@ -93,6 +104,9 @@
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{fields}\r\n"
         complete = head.encode() + body
         transport = request.transport
+        if fault in ENDLESS:
+            await self.send_endlessly(transport, fault, fields)
+            return web.Response()
         transport.write(
             {
                 "drop": b"",
@@ -109,6 +123,15 @@
         transport.close()
         return web.Response()
 
+    async def send_endlessly(self, transport, fault, fields):
+        """Send a head or a body without end until the caller closes."""
+        start, part = ENDLESS[fault]
+        transport.write(start.replace(b"FIELDS", fields.encode()))
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < MAX_BUFFERED:
+                transport.write(part)
+            await asyncio.sleep(0.001)
+
     async def add_extra_fields(self, request, response):
         response.headers.update(self.extra_fields)
 
