Turn fewer callers away at a stop, and name what is verified

Cause: with 1 in 100 as the bound, 99 callers of a path could be turned away by a stopping daemon for one that would be cut off, and now gets an answer. Answers of runs that were refused counted as short runs.

Change: 5 in 100, 20 in 100 for calls that may be repeated; refused runs don't count. The registry's flags have names of what they hold.

--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/calls/receive.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from papayabay_core.calls import Body
-from papayabay_core.errors import KIND_LABELS, CallError, ErrorKind
+from papayabay_core.errors import KIND_LABELS, NOT_RUN, CallError, ErrorKind
 from papayabay_core.utils.clock import now
 from papayabay_daemon._internal.calls.answers import error_answer
 from papayabay_daemon._internal.calls.run_body import RunBody
@@ -72,8 +72,9 @@
             finally:
                 if answer is None:
                     self.finish(token, live, ticket, None)
-            elapsed = horizon.clock() - begun_at
-            horizon.durations.record(call.path_key, elapsed)
+            if answer.effect is not NOT_RUN:
+                elapsed = horizon.clock() - begun_at
+                horizon.durations.record(call.path_key, elapsed)
             self.complete(token, live, ticket, answer)
             self.budget.record_end(call, account, answer)
             return answer
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/stop_horizon.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/lifetime/stop_horizon.py
@@ -13,11 +13,12 @@
 BOUNDS_S = tuple(FIRST_BOUND_S * BOUND_RATIO**power for power in range(40))
 """Upper bounds of the duration buckets; the last one is about a minute."""
 MAX_PATHS = 512
-LATE_SHARE = 0.05
+LATE_SHARE = 0.2
 """Share of an idempotent path's calls that may last longer than there is time
 left, before the next ones are sent elsewhere."""
-LATE_SHARE_ONCE = 0.01
-"""The same for calls that may run only once: none of them can be repeated."""
+LATE_SHARE_ONCE = 0.05
+"""The same for calls that may run only once, which can't be repeated. Most of
+the callers that are turned away would have been served in time."""
 
 
 class RecentDurations:
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/registry.py
@@ -19,8 +19,6 @@
 MAX_PROCESSES = 64
 """Most target processes whose sequence numbers are kept, to recognise their
 late announcements."""
-
-
 COUNTERS = (
     "held_announcements",
     "verified_processes",
@@ -62,9 +60,9 @@
         Whether processes are verified; set by `TargetVerifier`.
     candidates : Candidates
         Processes that are not verified yet.
-    doubted : asyncio.Event
+    verification_due : asyncio.Event
         Set when there is a candidate to verify.
-    is_proven : bool
+    is_verified : bool
         Whether the process in force was verified or needed no verification.
     counters : dict of str to int
         ``held_announcements``: those held for a verification;
@@ -85,8 +83,8 @@
         self.was_absent = False
         self.verifies = False
         self.candidates = Candidates()
-        self.doubted = asyncio.Event()
-        self.is_proven = True
+        self.verification_due = asyncio.Event()
+        self.is_verified = True
         self.counters = dict.fromkeys(COUNTERS, 0)
 
     @property
@@ -112,21 +110,21 @@
                 announcement.incarnation,
             )
             return False
-        if self.is_doubtful(announcement):
+        if self.needs_verification(announcement):
             if self.candidates.hold(announcement, self.clock()):
                 self.counters["held_announcements"] += 1
-                self.doubted.set()
+                self.verification_due.set()
             return False
         self.put_in_force(announcement)
         return True
 
-    def put_in_force(self, announcement, is_proven=True):
+    def put_in_force(self, announcement, is_verified=True):
         """Put an announcement in force that is not outdated.
 
         Parameters
         ----------
         announcement : Announcement
-        is_proven : bool
+        is_verified : bool
             Whether its process is known to run at the address.
         """
         moment = self.clock()
@@ -137,10 +135,10 @@
         if previous is not None and previous.completed_by(announcement):
             previous.born_ms = announcement.born_ms
         if previous is not None and previous.process != announcement.process:
-            self.end_previous(previous, announcement, is_proven)
-            self.is_proven = is_proven
+            self.end_previous(previous, announcement, is_verified)
+            self.is_verified = is_verified
         elif previous is None:
-            self.is_proven = is_proven
+            self.is_verified = is_verified
         known = previous is not None and previous.same_process(announcement)
         if self.first_incarnation is None and not self.was_absent:
             self.first_incarnation = announcement.incarnation
@@ -168,7 +166,7 @@
             )
         self.notify()
 
-    def end_previous(self, previous, announcement, is_proven):
+    def end_previous(self, previous, announcement, is_verified):
         """Record that a process has ended, as another one took its address.
 
         Its announcements may still arrive late. Where its end is not proven,
@@ -177,11 +175,11 @@
         do while the later one is in force.
         """
         is_restart = previous.incarnation == announcement.incarnation
-        if self.verifies and (not is_proven or (is_restart and previous.born_ms)):
+        if self.verifies and (not is_verified or (is_restart and previous.born_ms)):
             return
         self.record_sequence(previous.process, ENDED)
 
-    def is_doubtful(self, announcement):
+    def needs_verification(self, announcement):
         """Whether a process has to be verified before it is put in force.
 
         A daemon that has just started doesn't know whether the process has
@@ -320,7 +318,7 @@
         times show which process is the older one.
         """
         current = self.current
-        if current is None or not announcement.born_ms or not self.is_proven:
+        if current is None or not announcement.born_ms or not self.is_verified:
             return False
         return announcement.born_ms < current.born_ms
 
--- a/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/verification.py
+++ b/packages/papayabay-daemon/src/papayabay_daemon/_internal/target/verification.py
@@ -32,8 +32,8 @@
     async def run(self):
         """Verify whatever the registry holds, until cancelled."""
         while True:
-            await self.registry.doubted.wait()
-            self.registry.doubted.clear()
+            await self.registry.verification_due.wait()
+            self.registry.verification_due.clear()
             await self.verify()
             await asyncio.sleep(MIN_PAUSE_S)
 
